--- /dev/null
+++ b/cmd/micaspindle/main.go
@@ -0,0 +1,156 @@
+// Command micaspindle is one controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"micaspindle/internal/coordination"
+	"micaspindle/internal/settings"
+	"micaspindle/internal/transport"
+)
+
+type cli struct {
+	Serve    serveCmd    `cmd:"" default:"withargs" help:"Run a controller (the default)."`
+	Settings settingsCmd `cmd:"" help:"Work with settings files."`
+	Version  versionCmd  `cmd:"" help:"Print the version."`
+}
+
+type files struct {
+	Config   string `required:"" type:"path" help:"The platform's settings file (JSON)."`
+	Operator string `type:"path" help:"The operators' own settings (YAML), optional."`
+}
+
+func (f files) load() (*settings.Settings, settings.Operator, error) {
+	set, err := settings.Load(f.Config)
+	if err != nil {
+		return nil, settings.Operator{}, err
+	}
+	op, err := settings.LoadOperator(f.Operator)
+	return set, op, err
+}
+
+type settingsCmd struct {
+	Check checkCmd `cmd:"" help:"Check settings files and exit."`
+}
+
+type checkCmd struct{ files }
+
+// Run checks the files.
+func (c *checkCmd) Run() error {
+	set, _, err := c.load()
+	if err != nil {
+		return usageError{err}
+	}
+	fmt.Printf("settings of %s are good: %d controllers, %d teams\n", set.Label, set.Params.Count, len(set.Params.Teams))
+	return nil
+}
+
+type versionCmd struct{}
+
+// Run prints the version.
+func (versionCmd) Run() error {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+	}
+	fmt.Println("micaspindle", version, runtime.Version())
+	return nil
+}
+
+type serveCmd struct{ files }
+
+// usageError marks what the caller must mend; it ends the process with code 2.
+type usageError struct{ error }
+
+// Run serves until a signal or a failure of the engine.
+func (s *serveCmd) Run() error {
+	set, op, err := s.load()
+	if err != nil {
+		return usageError{err}
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()}))
+	slog.SetDefault(log)
+	// One thread's worth of a core, and a heap that stays below the limit at
+	// which the process would be killed.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(set.Params.MachineLimits.MemMB * 0.7 * (1 << 20)))
+
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return serve(ctx, set, op, log)
+}
+
+func serve(ctx context.Context, set *settings.Settings, op settings.Operator, log *slog.Logger) error {
+	client := transport.NewClient()
+	ctl := coordination.New(set, op, client, log)
+	sockets := set.Params.MachineLimits.Sockets
+	listeners := []*transport.Listener{
+		{Addr: set.ServeOn, Handler: ctl.Serve, MaxBody: 64 << 10, MaxConns: max(8, sockets*3/4)},
+		{Addr: set.ClusterListen, Handler: ctl.ServePeers, MaxBody: coordination.MaxPeerBody, MaxConns: max(8, sockets/20)},
+	}
+	done := make(chan struct{})
+	err := transport.Run(ctx, listeners, func(e *transport.Engine) {
+		client.Attach(e)
+		log.Info("serving", "label", set.Label, "zone", set.Zone, "addr", set.ServeOn)
+		go func() {
+			defer close(done)
+			ctl.Run(ctx)
+		}()
+		go func() {
+			tick := time.NewTicker(10 * time.Second)
+			defer tick.Stop()
+			for {
+				select {
+				case <-tick.C:
+					client.Sweep()
+				case <-ctx.Done():
+					return
+				}
+			}
+		}()
+	})
+	if err != nil {
+		return fmt.Errorf("serve: %w", err)
+	}
+	<-done
+	log.Info("stopped", "reason", context.Cause(ctx))
+	return nil
+}
+
+func logLevel() slog.Level {
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "debug":
+		return slog.LevelDebug
+	case "error":
+		return slog.LevelError
+	}
+	return slog.LevelInfo
+}
+
+func main() {
+	var c cli
+	parser := kong.Must(&c, kong.Name("micaspindle"), kong.Description("A cluster scheduler that places work where contention is least."))
+	k, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "micaspindle:", err)
+		os.Exit(2)
+	}
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "micaspindle:", err)
+		if _, ok := err.(usageError); ok {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/bookkeeping/records.go
@@ -0,0 +1,155 @@
+package bookkeeping
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"micaspindle/internal/protocol"
+)
+
+// Keys. Everything that every controller follows lies under one prefix, so
+// that one watch serves; what only the owner of a part reads lies elsewhere.
+const (
+	WatchPrefix   = "w/"
+	claimPrefix   = "w/c/"
+	machinePrefix = "w/m/"
+	jobPrefix     = "w/j/"
+	catalogKey    = "w/catalog"
+	runPrefix     = "r/"
+	LeaderKey     = claimPrefix + "leader"
+	CatalogKey    = catalogKey
+)
+
+// Kind says what a watched key holds.
+type Kind int
+
+// The kinds of watched keys.
+const (
+	KindOther Kind = iota
+	KindClaim
+	KindLeader
+	KindMachine
+	KindJob
+	KindFinal
+	KindCatalog
+)
+
+// ClaimKey names the claim of a part.
+func ClaimKey(part int) string { return claimPrefix + strconv.Itoa(part) }
+
+// MachineKey names the assignment record of a machine.
+func MachineKey(name string) string { return machinePrefix + name }
+
+// JobPrefix holds both records of a job.
+func JobPrefix(id string) string { return jobPrefix + id + "/" }
+
+// JobKey names the record of an accepted job.
+func JobKey(id string) string { return JobPrefix(id) + "spec" }
+
+// FinalKey names the record that makes a job done or withdrawn. There is one
+// for both, so that each excludes the other.
+func FinalKey(id string) string { return JobPrefix(id) + "final" }
+
+// RunPrefix holds the run records of a part.
+func RunPrefix(part int) string { return runPrefix + strconv.Itoa(part) + "/" }
+
+// RunKey names one chunk of a job's run record.
+func RunKey(part int, id string, chunk int) string {
+	return RunPrefix(part) + id + "/" + strconv.Itoa(chunk)
+}
+
+// ParseKey tells what a watched key holds and its name or part.
+func ParseKey(key string) (Kind, string) {
+	switch {
+	case key == LeaderKey:
+		return KindLeader, ""
+	case key == catalogKey:
+		return KindCatalog, ""
+	case strings.HasPrefix(key, claimPrefix):
+		return KindClaim, key[len(claimPrefix):]
+	case strings.HasPrefix(key, machinePrefix):
+		return KindMachine, key[len(machinePrefix):]
+	case strings.HasPrefix(key, jobPrefix):
+		id, what, _ := strings.Cut(key[len(jobPrefix):], "/")
+		switch what {
+		case "spec":
+			return KindJob, id
+		case "final":
+			return KindFinal, id
+		}
+	}
+	return KindOther, ""
+}
+
+// ParseRunKey splits the key of a run record.
+func ParseRunKey(key string) (id string, chunk int, err error) {
+	fields := strings.Split(key, "/")
+	if len(fields) != 4 {
+		return "", 0, fmt.Errorf("bookkeeping: run key %q", key)
+	}
+	chunk, err = strconv.Atoi(fields[3])
+	return fields[2], chunk, err
+}
+
+// Claim says who owns a part or leads.
+type Claim struct {
+	Owner string `msgpack:"o"`
+	// Nonce differs with each start of the process, so that a restarted
+	// controller does not take its former life's claim for its own.
+	Nonce string `msgpack:"n"`
+}
+
+// Machine is the assignment record of a machine.
+type Machine struct {
+	Part int    `msgpack:"p"`
+	Addr string `msgpack:"a"`
+	Type string `msgpack:"t"`
+	Zone string `msgpack:"z"`
+	Spot bool   `msgpack:"s"`
+	// RentedMS is the wall clock of the rental, 0 for adopted machines.
+	RentedMS int64 `msgpack:"r"`
+}
+
+// Final makes a job done or withdrawn.
+type Final struct {
+	Status string `msgpack:"s"`
+	AtMS   int64  `msgpack:"at"`
+}
+
+// ChunkTasks is how many tasks share one run record, so that a record stays
+// within the size of a value.
+const ChunkTasks = 64
+
+// Run is one chunk of a job's run record.
+type Run struct {
+	// Done holds ranges of done tasks, both ends included.
+	Done [][2]int `msgpack:"d"`
+	// Live holds the attempts that are not proven over.
+	Live []Attempt `msgpack:"l"`
+	// Last is the highest attempt number used in the chunk.
+	Last uint64 `msgpack:"n"`
+}
+
+// Attempt is a recorded attempt of a task on a machine's session.
+type Attempt struct {
+	//lint:ignore U1000 tells the encoder to write a list
+	_msgpack struct{} `msgpack:",as_array"`
+	Task     int
+	Number   uint64
+	Machine  string
+	Session  uint64
+}
+
+// Encode encodes a record.
+func Encode(v any) msgpack.RawMessage { return protocol.Encode(v) }
+
+// Decode decodes a record.
+func Decode(raw msgpack.RawMessage, v any) error {
+	if err := protocol.Decode(raw, v); err != nil {
+		return fmt.Errorf("bookkeeping: record: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bookkeeping/store.go
@@ -0,0 +1,338 @@
+// Package bookkeeping keeps the records of jobs, machines and quotas in the
+// state service, within its limits.
+package bookkeeping
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/settings"
+	"micaspindle/internal/transport"
+)
+
+// Doer sends one request; transport.Client is the real one.
+type Doer interface {
+	Do(ctx context.Context, addr, method, target string, body []byte) (*transport.Response, error)
+}
+
+// Outcomes of a request that did not succeed.
+var (
+	// ErrRefused means that the request was certainly not executed.
+	ErrRefused = errors.New("state service refused")
+	// ErrUnknown means that the request may have been executed, or may be later.
+	ErrUnknown = errors.New("state service did not answer")
+	// ErrNotFound means that the key or lease does not exist.
+	ErrNotFound = errors.New("not found")
+	// ErrTooOld means that a watch must start again from a listing.
+	ErrTooOld = errors.New("changes no longer kept")
+	// ErrLeaseGone means that a put named an expired lease.
+	ErrLeaseGone = errors.New("no such lease")
+)
+
+// Conflict says which conditions of a transaction failed.
+type Conflict struct{ Failed []string }
+
+func (c *Conflict) Error() string { return fmt.Sprintf("conditions failed: %v", c.Failed) }
+
+// Store is the client of the state service. It shares the service's budget
+// with the other controllers: claim renewals go unhindered, then submissions
+// and withdrawals, then everything else.
+type Store struct {
+	net      Doer
+	addr     string
+	requests *rate.Limiter
+	writes   *rate.Limiter
+	// records bounds the writes of owners, so that submissions always find
+	// some budget left.
+	records  *rate.Limiter
+	lastOK   atomic.Int64
+	lastFail atomic.Int64
+	start    time.Time
+
+	// TxnOps and ValueBytes are the service's limits.
+	TxnOps     int
+	ValueBytes int
+}
+
+const (
+	requestTimeout = 2 * time.Second
+	// userPatience is how long a user's request may wait for budget before it
+	// is refused with Retry-After.
+	userPatience = 400 * time.Millisecond
+)
+
+// NewStore makes a client for one of count controllers.
+func NewStore(net Doer, addr string, limits settings.State, count int) *Store {
+	share := 1.2 / float64(count)
+	limiter := func(perSecond float64, burst int) *rate.Limiter {
+		return rate.NewLimiter(rate.Limit(perSecond), max(burst, limits.TxnOps))
+	}
+	return &Store{
+		net: net, addr: addr, start: time.Now(),
+		requests:   limiter(limits.RPS*share, int(limits.RPS*share/2)),
+		writes:     limiter(limits.WriteRPS*share, int(limits.WriteRPS*share)),
+		records:    limiter(limits.WriteRPS*share*0.8, int(limits.WriteRPS*share)),
+		TxnOps:     limits.TxnOps,
+		ValueBytes: int(limits.ValueKB * 1024),
+	}
+}
+
+// Silence is how long ago the service last answered a request properly.
+func (s *Store) Silence() time.Duration {
+	return time.Since(s.start) - time.Duration(s.lastOK.Load())
+}
+
+// Down says that the service has just failed us and not answered since.
+func (s *Store) Down() bool {
+	fail := time.Duration(s.lastFail.Load())
+	return fail > time.Duration(s.lastOK.Load()) && s.Silence() > 1500*time.Millisecond
+}
+
+func (s *Store) do(ctx context.Context, timeout time.Duration, method, target string, in, out any) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var body []byte
+	if in != nil {
+		body = protocol.Encode(in)
+	}
+	resp, err := s.net.Do(ctx, s.addr, method, target, body)
+	if err != nil {
+		s.lastFail.Store(int64(time.Since(s.start)))
+		if errors.Is(err, transport.ErrNotSent) {
+			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		return 0, fmt.Errorf("%w: %w", ErrUnknown, err)
+	}
+	switch resp.Status {
+	case 200, 404, 409, 410, 400:
+		s.lastOK.Store(int64(time.Since(s.start)))
+	case 429:
+		return 429, fmt.Errorf("%w: over its limit", ErrRefused)
+	default:
+		s.lastFail.Store(int64(time.Since(s.start)))
+		return resp.Status, fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
+	}
+	if out != nil && (resp.Status == 200 || resp.Status == 409) {
+		if err := protocol.Decode(resp.Body, out); err != nil {
+			return resp.Status, fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+	}
+	return resp.Status, nil
+}
+
+// forUser admits a user's request now or refuses it.
+func forUser(l *rate.Limiter, n int) (time.Duration, error) {
+	r := l.ReserveN(time.Now(), n)
+	if d := r.Delay(); !r.OK() || d > userPatience {
+		r.Cancel()
+		return 0, fmt.Errorf("%w: budget used up", ErrRefused)
+	} else {
+		return d, nil
+	}
+}
+
+func (s *Store) admitUser(ctx context.Context, writes int) error {
+	wait, err := forUser(s.requests, 1)
+	if err == nil && writes > 0 {
+		var more time.Duration
+		more, err = forUser(s.writes, writes)
+		wait = max(wait, more)
+	}
+	if err != nil {
+		return err
+	}
+	if wait > 0 {
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return fmt.Errorf("%w: %w", ErrRefused, ctx.Err())
+		}
+	}
+	return nil
+}
+
+// UserGet reads a key for a user.
+func (s *Store) UserGet(ctx context.Context, key string) (*protocol.Item, error) {
+	if err := s.admitUser(ctx, 0); err != nil {
+		return nil, err
+	}
+	return s.get(ctx, key)
+}
+
+// UserList lists a prefix for a user.
+func (s *Store) UserList(ctx context.Context, prefix string) (*protocol.ItemList, error) {
+	if err := s.admitUser(ctx, 0); err != nil {
+		return nil, err
+	}
+	return s.page(ctx, prefix, "")
+}
+
+// UserCommit commits a submission or a withdrawal.
+func (s *Store) UserCommit(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
+	if err := s.admitUser(ctx, len(txn.Then)); err != nil {
+		return 0, err
+	}
+	return s.commit(ctx, txn)
+}
+
+// Get reads a key.
+func (s *Store) Get(ctx context.Context, key string) (*protocol.Item, error) {
+	if err := s.requests.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return s.get(ctx, key)
+}
+
+func (s *Store) get(ctx context.Context, key string) (*protocol.Item, error) {
+	var item protocol.Item
+	status, err := s.do(ctx, requestTimeout, "GET", "/store/"+key, nil, &item)
+	if err != nil {
+		return nil, err
+	}
+	if status == 404 {
+		return nil, ErrNotFound
+	}
+	return &item, nil
+}
+
+// List reads all keys under a prefix and the revision from which to watch.
+func (s *Store) List(ctx context.Context, prefix string) ([]protocol.Item, uint64, error) {
+	var items []protocol.Item
+	var revision uint64
+	after := ""
+	for {
+		if err := s.requests.Wait(ctx); err != nil {
+			return nil, 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		page, err := s.page(ctx, prefix, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		// Changes made between two pages must come again from the watch.
+		if revision == 0 {
+			revision = page.Revision
+		}
+		items = append(items, page.Items...)
+		if !page.More || len(page.Items) == 0 {
+			return items, revision, nil
+		}
+		after = page.Items[len(page.Items)-1].Key
+	}
+}
+
+func (s *Store) page(ctx context.Context, prefix, after string) (*protocol.ItemList, error) {
+	q := url.Values{"under": {prefix}, "page": {"500"}}
+	if after != "" {
+		q.Set("after", after)
+	}
+	var list protocol.ItemList
+	if _, err := s.do(ctx, requestTimeout, "GET", "/store?"+plain(q), nil, &list); err != nil {
+		return nil, err
+	}
+	return &list, nil
+}
+
+// plain undoes the escaping of slashes, which the service does not expect.
+func plain(q url.Values) string {
+	out := ""
+	for k, vs := range q {
+		if out != "" {
+			out += "&"
+		}
+		out += k + "=" + vs[0]
+	}
+	return out
+}
+
+// Commit commits records of an owner or leader.
+func (s *Store) Commit(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
+	if n := len(txn.Then); n > 0 {
+		if err := s.records.WaitN(ctx, n); err != nil {
+			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		}
+		s.writes.ReserveN(time.Now(), n)
+	}
+	s.requests.Reserve()
+	return s.commit(ctx, txn)
+}
+
+// CommitClaim commits a claim ahead of everything else.
+func (s *Store) CommitClaim(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
+	s.requests.Reserve()
+	s.writes.ReserveN(time.Now(), len(txn.Then))
+	return s.commit(ctx, txn)
+}
+
+func (s *Store) commit(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
+	if txn.If == nil {
+		txn.If = []protocol.Condition{}
+	}
+	if txn.Then == nil {
+		txn.Then = []protocol.Change{}
+	}
+	var res protocol.TransactionResult
+	status, err := s.do(ctx, requestTimeout, "POST", "/commit", txn, &res)
+	switch {
+	case err != nil:
+		return 0, err
+	case status == 200:
+		return res.Revision, nil
+	case status == 409:
+		return 0, &Conflict{Failed: res.Failed}
+	}
+	return 0, ErrLeaseGone
+}
+
+// Grant opens a lease.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (uint64, error) {
+	var lease protocol.Lease
+	s.requests.Reserve()
+	status, err := s.do(ctx, requestTimeout, "POST", "/grants", protocol.LeaseRequest{TTLMS: ttl.Milliseconds()}, &lease)
+	if err == nil && status != 200 {
+		err = fmt.Errorf("%w: status %d", ErrRefused, status)
+	}
+	return lease.ID, err
+}
+
+// Touch renews a lease.
+func (s *Store) Touch(ctx context.Context, lease uint64, timeout time.Duration) error {
+	s.requests.Reserve()
+	status, err := s.do(ctx, timeout, "POST", "/grants/"+strconv.FormatUint(lease, 10)+"/touch", map[string]any{}, nil)
+	if err == nil && status == 404 {
+		return ErrNotFound
+	}
+	return err
+}
+
+// Watch waits for changes under prefix after a revision.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (*protocol.Events, error) {
+	if err := s.requests.Wait(ctx); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	var ev protocol.Events
+	target := fmt.Sprintf("/changes?under=%s&after=%d&wait_ms=%d", prefix, after, wait.Milliseconds())
+	status, err := s.do(ctx, wait+3*time.Second, "GET", target, nil, &ev)
+	switch {
+	case err != nil:
+		return nil, err
+	case status == 410:
+		return nil, ErrTooOld
+	case status != 200:
+		return nil, fmt.Errorf("%w: status %d", ErrUnknown, status)
+	}
+	return &ev, nil
+}
+
+// Revoke ends a lease at once; if that fails, it ends by itself.
+func (s *Store) Revoke(ctx context.Context, lease uint64) {
+	s.requests.Reserve()
+	_, _ = s.do(ctx, requestTimeout, "DELETE", "/grants/"+strconv.FormatUint(lease, 10), nil, nil)
+}
--- /dev/null
+++ b/internal/coordination/claims.go
@@ -0,0 +1,382 @@
+package coordination
+
+import (
+	"errors"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+)
+
+// answerBound is how long after its last confirmed renewal a controller goes
+// on answering its workers, so that their tasks survive an outage of the state
+// service, yet are gone within cancel_s after a successor took over (rule 12).
+func (c *Controller) answerBound() time.Duration {
+	return max(0, c.cancelS-c.leaseS-2*margin)
+}
+
+// entitled says whether the controller may answer the workers of a part.
+func (c *Controller) entitled(p *part, now time.Time) bool {
+	return p.mine && now.Sub(c.renewed) < c.answerBound()
+}
+
+// renewDuty keeps the lease that all claims of this process hang on, and
+// claims what it should.
+func (c *Controller) renewDuty() {
+	period := c.op.ClaimTTL / 3
+	for {
+		c.renew()
+		if !c.sleep(period) {
+			return
+		}
+	}
+}
+
+func (c *Controller) renew() {
+	var lease uint64
+	if !c.do(func() { lease = c.lease }) {
+		return
+	}
+	sent := time.Now()
+	var err error
+	if lease == 0 {
+		lease, err = c.store.Grant(c.ctx, c.op.ClaimTTL)
+	} else {
+		err = c.store.Touch(c.ctx, lease, time.Second)
+	}
+	gone := errors.Is(err, bookkeeping.ErrNotFound)
+	type wish struct {
+		key     string
+		version uint64
+	}
+	var wishes []wish
+	c.do(func() {
+		switch {
+		case gone:
+			c.loseAll("the lease ended")
+			return
+		case err != nil:
+			c.log.Debug("renewal failed", "reason", err)
+			return
+		}
+		c.lease, c.renewed = lease, sent
+		for _, p := range c.parts {
+			if c.wantsPart(p, time.Now()) {
+				wishes = append(wishes, wish{bookkeeping.ClaimKey(p.index), p.version})
+			}
+		}
+		if c.wantsLead(time.Now()) {
+			wishes = append(wishes, wish{bookkeeping.LeaderKey, c.leader.version})
+		}
+	})
+	for _, w := range wishes {
+		c.claim(w.key, w.version, lease)
+	}
+}
+
+// claim tries to take a claim that is free or held by this controller's former
+// life. An unanswered attempt shows in the watch, where the nonce tells it.
+func (c *Controller) claim(key string, version, lease uint64) {
+	value := bookkeeping.Encode(bookkeeping.Claim{Owner: c.set.Label, Nonce: c.nonce})
+	rev, err := c.store.CommitClaim(c.ctx, &protocol.Transaction{
+		If:   []protocol.Condition{{Key: key, Version: version}},
+		Then: []protocol.Change{{Put: key, Value: value, Lease: lease}},
+	})
+	if errors.Is(err, bookkeeping.ErrLeaseGone) {
+		c.do(func() { c.loseAll("the lease ended") })
+		return
+	}
+	if err != nil {
+		c.log.Debug("claim failed", "key", key, "reason", err)
+		return
+	}
+	c.do(func() { c.applyEvent(protocol.Event{Put: key, Value: value, Version: rev}) })
+}
+
+// wantsPart says whether to claim a part now: its own at once, an orphan after
+// a pause that is longer the more parts are held already.
+func (c *Controller) wantsPart(p *part, now time.Time) bool {
+	if !c.synced || p.mine || now.Sub(c.resigned) < 10*time.Second && !c.resigned.IsZero() {
+		return false
+	}
+	if p.version != 0 {
+		return p.owner == c.set.Label
+	}
+	if p.index == c.self {
+		return true
+	}
+	held := 0
+	for _, q := range c.parts {
+		if q.mine {
+			held++
+		}
+	}
+	pause := time.Duration(held) * 400 * time.Millisecond
+	if now.Sub(c.started) < 4*time.Second {
+		pause += time.Second
+	}
+	return now.Sub(p.orphan) >= pause
+}
+
+func (c *Controller) wantsLead(now time.Time) bool {
+	l := &c.leader
+	if !c.synced || l.mine || now.Sub(c.resigned) < 10*time.Second && !c.resigned.IsZero() {
+		return false
+	}
+	if l.version != 0 {
+		return l.owner == c.set.Label
+	}
+	return now.Sub(l.orphan) >= time.Duration(c.self)*400*time.Millisecond
+}
+
+// applyClaim follows who owns a part.
+func (c *Controller) applyClaim(p *part, e protocol.Event, now time.Time) {
+	if e.Version < p.version || e.Put != "" && e.Version == p.version {
+		return
+	}
+	if e.Delete != "" {
+		p.owner, p.version, p.orphan = "", 0, now
+		c.lose(p, "the claim ended")
+		return
+	}
+	var claim bookkeeping.Claim
+	if err := bookkeeping.Decode(e.Value, &claim); err != nil {
+		c.log.Error("bad claim record", "part", p.index, "reason", err)
+		return
+	}
+	c.lose(p, "the claim changed hands")
+	p.owner, p.version = claim.Owner, e.Version
+	if claim.Owner == c.set.Label && claim.Nonce == c.nonce {
+		p.mine, p.ready, p.claimed = true, false, now
+		c.log.Info("part claimed", "part", p.index, "token", p.version)
+		c.duty.Go(func() { c.rebuild(p, e.Version) })
+	}
+}
+
+// lose stops acting for a part.
+func (c *Controller) lose(p *part, reason string) {
+	if !p.mine {
+		return
+	}
+	c.log.Info("part lost", "part", p.index, "reason", reason)
+	p.mine, p.ready = false, false
+	c.clearPart(p)
+}
+
+func (c *Controller) clearPart(p *part) {
+	clear(p.usage)
+	for id, j := range c.jobs {
+		if j.part != p.index {
+			continue
+		}
+		if j.disown(); c.finals[id] != "" {
+			delete(c.jobs, id)
+		}
+	}
+	for _, m := range c.machines {
+		if m.rec.Part == p.index {
+			m.reset()
+		}
+	}
+}
+
+// reset forgets what only the machine's owner may believe.
+func (m *machine) reset() {
+	m.attempts, m.foreign = map[string]*attempt{}, map[string]protocol.TaskReport{}
+	m.fenced, m.lost, m.moving, m.heard, m.wantBump = false, false, false, false, false
+	m.retiring = time.Time{}
+	m.resources()
+}
+
+func (c *Controller) loseAll(reason string) {
+	c.lease = 0
+	for _, p := range c.parts {
+		c.lose(p, reason)
+	}
+	c.dropLead(reason)
+}
+
+// checkClaims gives parts up that this controller can't serve: when none of
+// its workers has been heard for several report periods while other
+// controllers hear them, it is cut off from the workers and must let go (11).
+func (c *Controller) checkClaims(now time.Time) {
+	silence := max(3*c.reportS, 4*time.Second)
+	var machines, silent int
+	strayed := false
+	for _, m := range c.machines {
+		p := c.parts[m.rec.Part]
+		if !p.mine || now.Sub(p.claimed) < silence {
+			continue
+		}
+		machines++
+		if now.Sub(m.lastHeard) > silence {
+			silent++
+		}
+		for _, ps := range c.peers {
+			if ps.summary == nil || now.Sub(ps.heard) > 2*time.Second {
+				continue
+			}
+			for _, name := range ps.summary.Strayed {
+				strayed = strayed || name == m.name
+			}
+		}
+	}
+	if machines > 0 && silent == machines && strayed {
+		c.log.Info("resigning", "reason", "no worker heard while others hear them", "machines", machines)
+		c.resigned = now
+		lease := c.lease
+		c.loseAll("resigned")
+		c.duty.Go(func() { c.store.Revoke(c.ctx, lease) })
+	}
+}
+
+// rebuild reads what the part's former owner recorded. Everything that owner
+// still sends fails from now on, since it is conditional on the old claim.
+func (c *Controller) rebuild(p *part, version uint64) {
+	current := func() bool {
+		ok := false
+		return c.do(func() { ok = p.mine && p.version == version }) && ok
+	}
+	for current() {
+		if err := c.tryRebuild(p, version); err == nil {
+			return
+		} else {
+			c.log.Info("rebuilding failed", "part", p.index, "reason", err)
+		}
+		if !c.sleep(200 * time.Millisecond) {
+			return
+		}
+	}
+}
+
+func (c *Controller) tryRebuild(p *part, version uint64) error {
+	runs, _, err := c.store.List(c.ctx, bookkeeping.RunPrefix(p.index))
+	if err != nil {
+		return err
+	}
+	// The watch may lag: a machine that only seems unknown may run tasks.
+	machines, _, err := c.store.List(c.ctx, bookkeeping.MachineKey(""))
+	if err != nil {
+		return err
+	}
+	var missing []string
+	c.do(func() {
+		for _, it := range runs {
+			if id, _, err := bookkeeping.ParseRunKey(it.Key); err == nil && c.jobs[id] == nil {
+				missing = append(missing, id)
+			}
+		}
+	})
+	specs := map[string]*protocol.Item{}
+	for _, id := range missing {
+		if specs[id] == nil {
+			if specs[id], err = c.store.Get(c.ctx, bookkeeping.JobKey(id)); err != nil {
+				return err
+			}
+		}
+	}
+	c.do(func() {
+		if !p.mine || p.version != version {
+			return
+		}
+		for _, it := range machines {
+			c.applyEvent(protocol.Event{Put: it.Key, Value: it.Value, Version: it.Version})
+		}
+		c.install(p, runs, specs)
+	})
+	return nil
+}
+
+// install takes the part's records as the state of its jobs and machines.
+func (c *Controller) install(p *part, runs []protocol.Item, specs map[string]*protocol.Item) {
+	now := time.Now()
+	c.clearPart(p)
+	for id, it := range specs {
+		// An ended job whose attempts are not all proven over.
+		status := c.finals[id]
+		delete(c.finals, id)
+		c.applyJobRecord(id, it.Value)
+		if status != "" {
+			c.finals[id] = status
+		}
+	}
+	for _, j := range c.jobs {
+		if j.part == p.index {
+			j.own()
+		}
+	}
+	live := 0
+	for _, it := range runs {
+		id, index, err := bookkeeping.ParseRunKey(it.Key)
+		j := c.jobs[id]
+		var run bookkeeping.Run
+		if err == nil {
+			err = bookkeeping.Decode(it.Value, &run)
+		}
+		if err != nil || j == nil {
+			c.log.Error("bad run record", "key", it.Key, "reason", err)
+			continue
+		}
+		ch := &chunk{index: index, version: it.Version, last: run.Last}
+		j.chunks[index] = ch
+		for _, r := range run.Done {
+			for t := max(0, r[0]); t <= r[1] && t < len(j.done); t++ {
+				if !j.done[t] {
+					j.done[t] = true
+					j.doneCount++
+				}
+			}
+		}
+		for _, r := range run.Live {
+			m := c.machines[r.Machine]
+			if m == nil || m.rec.Part != p.index || r.Task < 0 || r.Task >= j.spec.Tasks {
+				// The record of a machine goes only after the machine, and a
+				// machine moves only when it is empty: the attempt is over.
+				j.touch(r.Task, false, now)
+				continue
+			}
+			a := &attempt{job: j, task: r.Task, number: r.Number, machine: m, session: r.Session,
+				state: attemptCommitted, committed: now}
+			j.live[r.Task] = a
+			m.attempts[attemptKey(a.wire(), a.number)] = a
+			p.usage[j.team].add(j.spec, 1)
+			live++
+		}
+	}
+	for id, j := range c.jobs {
+		if j.part != p.index {
+			continue
+		}
+		j.requeueAll()
+		if c.finals[id] != "" {
+			j.withdrawn, j.queue = true, nil
+			for _, a := range j.live {
+				c.stopAttempt(a, 0, now)
+			}
+			c.dropIfOver(j)
+		} else if j.doneCount == j.spec.Tasks && !j.spec.Standing {
+			j.finishing = true
+		}
+	}
+	for _, m := range c.machines {
+		if m.rec.Part == p.index {
+			m.resources()
+			// The former owner may go on answering this long (8, 12).
+			m.answeredBy = now.Add(c.answerBound())
+			m.lastHeard = now
+			c.fence(m)
+		}
+	}
+	p.ready = true
+	p.wake()
+	c.log.Info("part ready", "part", p.index, "live", live, "after", now.Sub(p.claimed))
+}
+
+func (j *job) requeueAll() {
+	j.queue = j.queue[:0]
+	for t := range j.spec.Tasks {
+		if !j.done[t] && j.live[t] == nil {
+			j.queue = append(j.queue, t)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/controller.go
@@ -0,0 +1,454 @@
+// Package coordination decides: who owns which part, who leads, where tasks
+// run and which machines are rented. One goroutine owns all its state; I/O
+// happens elsewhere and comes back to it as calls.
+package coordination
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/protocol/peer"
+	"micaspindle/internal/settings"
+)
+
+// Controller is one controller process.
+type Controller struct {
+	set   *settings.Settings
+	op    settings.Operator
+	net   bookkeeping.Doer
+	store *bookkeeping.Store
+	// cloudBudget keeps this controller within its share of the cloud's limit.
+	cloudBudget *rate.Limiter
+	log         *slog.Logger
+	nonce       string
+	calls       chan func()
+	ctx         context.Context
+	duty        sync.WaitGroup
+
+	// Derived from the settings once.
+	teamIndex map[string]int
+	teamPart  []int
+	labels    []string // all controllers, sorted
+	self      int
+	leaseS    time.Duration
+	cancelS   time.Duration
+	reportS   time.Duration
+
+	// Owned by the loop.
+	synced   bool
+	parts    []*part
+	jobs     map[string]*job
+	finals   map[string]string
+	machines map[string]*machine
+	gone     map[string]time.Time // machines that were deleted, for late reports
+	types    map[string]*protocol.MachineType
+	catalog  []protocol.MachineType
+	peers    map[string]*peerState
+	unknown  map[string]*peer.UnknownMachine
+	lease    uint64
+	renewed  time.Time // when the last confirmed renewal was sent
+	resigned time.Time
+	strayed  map[string]time.Time
+	leader   leaderState
+	started  time.Time
+	bias     map[string]*classBias
+}
+
+// peerState is what another controller last said of itself.
+type peerState struct {
+	addr    string
+	heard   time.Time
+	since   time.Time
+	summary *peer.Summary
+}
+
+// margin is added to every bound that must hold on another machine's clock.
+const margin = time.Second
+
+// drift is by how much steady clocks may differ, with room to spare.
+const drift = 1.001
+
+// New makes a controller; Run starts it.
+func New(set *settings.Settings, op settings.Operator, net bookkeeping.Doer, log *slog.Logger) *Controller {
+	p := set.Params
+	c := &Controller{
+		set: set, op: op, net: net, log: log,
+		store:       bookkeeping.NewStore(net, set.Services.State, p.State, p.Count),
+		nonce:       rand.Text(),
+		cloudBudget: rate.NewLimiter(rate.Limit(p.Cloud.RPS*0.8), 2),
+		calls:       make(chan func(), 256),
+
+		teamIndex: map[string]int{}, teamPart: teamParts(p.Teams, p.Count),
+		leaseS: settings.Seconds(p.Workers.LeaseS), cancelS: settings.Seconds(p.Workers.CancelS),
+		reportS: settings.Seconds(p.Workers.ReportS),
+
+		jobs: map[string]*job{}, finals: map[string]string{}, machines: map[string]*machine{},
+		gone: map[string]time.Time{}, types: map[string]*protocol.MachineType{},
+		peers: map[string]*peerState{}, unknown: map[string]*peer.UnknownMachine{},
+		strayed: map[string]time.Time{}, bias: map[string]*classBias{},
+	}
+	for i, t := range p.Teams {
+		c.teamIndex[t.Name] = i
+	}
+	c.labels = append(c.labels, set.Label)
+	for _, o := range set.Others {
+		c.labels = append(c.labels, o.Label)
+		c.peers[o.Label] = &peerState{addr: o.PeerAddr}
+	}
+	slices.Sort(c.labels)
+	c.self = slices.Index(c.labels, set.Label)
+	for i := range p.Count {
+		c.parts = append(c.parts, &part{index: i, kick: make(chan struct{}, 1), usage: make([]quota, len(p.Teams))})
+	}
+	c.leader.init()
+	return c
+}
+
+// Run serves until ctx ends, and returns when every duty has ended.
+func (c *Controller) Run(ctx context.Context) {
+	c.ctx = ctx
+	c.started = time.Now()
+	loopDone := make(chan struct{})
+	loopCtx, stopLoop := context.WithCancel(context.Background())
+	go func() {
+		defer close(loopDone)
+		c.loop(loopCtx)
+	}()
+	c.duty.Go(c.watchDuty)
+	c.duty.Go(c.renewDuty)
+	c.duty.Go(c.catalogDuty)
+	c.duty.Go(c.leaderDuty)
+	for label := range c.peers {
+		c.duty.Go(func() { c.peerDuty(label) })
+	}
+	for _, p := range c.parts {
+		c.duty.Go(func() { c.commitDuty(p) })
+	}
+	// The loop outlives the duties, since they end through it.
+	c.duty.Wait()
+	stopLoop()
+	<-loopDone
+}
+
+const tickEvery = 250 * time.Millisecond
+
+func (c *Controller) loop(ctx context.Context) {
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case fn := <-c.calls:
+			fn()
+		case <-tick.C:
+			c.tick(time.Now())
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// do runs fn in the loop and waits for it. It reports whether fn ran.
+func (c *Controller) do(fn func()) bool {
+	done := make(chan struct{})
+	select {
+	case c.calls <- func() { fn(); close(done) }:
+	case <-c.ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+// sleep waits and reports whether the controller still runs.
+func (c *Controller) sleep(d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+func (c *Controller) tick(now time.Time) {
+	c.checkMachines(now)
+	c.checkClaims(now)
+	for _, p := range c.parts {
+		if p.mine && p.ready {
+			p.wake()
+		}
+	}
+	for name, at := range c.gone {
+		if now.Sub(at) > 10*time.Minute {
+			delete(c.gone, name)
+		}
+	}
+	for name, at := range c.strayed {
+		if now.Sub(at) > 5*time.Second {
+			delete(c.strayed, name)
+		}
+	}
+}
+
+func (p *part) wake() {
+	select {
+	case p.kick <- struct{}{}:
+	default:
+	}
+}
+
+// watchDuty follows the shared records: a listing, then changes from there.
+func (c *Controller) watchDuty() {
+	pause := 200 * time.Millisecond
+	revision := uint64(0)
+	for {
+		if revision == 0 {
+			items, rev, err := c.store.List(c.ctx, bookkeeping.WatchPrefix)
+			if err != nil {
+				c.log.Debug("listing failed", "reason", err)
+				if !c.sleep(pause) {
+					return
+				}
+				continue
+			}
+			if !c.do(func() { c.applyListing(items, rev) }) {
+				return
+			}
+			revision = rev
+		}
+		ev, err := c.store.Watch(c.ctx, bookkeeping.WatchPrefix, revision, 10*time.Second)
+		if err != nil {
+			if c.ctx.Err() != nil {
+				return
+			}
+			// A watch that ended without an answer, or that answers 410, may
+			// have missed changes; a fresh listing never does.
+			c.log.Debug("watch ended", "reason", err)
+			revision = 0
+			if !c.sleep(pause) {
+				return
+			}
+			continue
+		}
+		if len(ev.Events) > 0 && !c.do(func() {
+			for _, e := range ev.Events {
+				c.applyEvent(e)
+			}
+		}) {
+			return
+		}
+		revision = max(revision, ev.Revision)
+	}
+}
+
+// applyListing replaces what is known of the shared records.
+func (c *Controller) applyListing(items []protocol.Item, revision uint64) {
+	now := time.Now()
+	machines, claims := map[string]bool{}, map[string]bool{}
+	// Final states go first, so that ended jobs are not taken up.
+	for _, it := range items {
+		if kind, id := bookkeeping.ParseKey(it.Key); kind == bookkeeping.KindFinal {
+			c.applyFinalRecord(id, it.Value)
+		}
+	}
+	for _, it := range items {
+		switch kind, name := bookkeeping.ParseKey(it.Key); kind {
+		case bookkeeping.KindMachine:
+			machines[name] = true
+		case bookkeeping.KindClaim, bookkeeping.KindLeader:
+			claims[it.Key] = true
+		case bookkeeping.KindFinal:
+			continue
+		}
+		c.applyEvent(protocol.Event{Put: it.Key, Value: it.Value, Version: it.Version})
+	}
+	// What was written after the listing began is not in it, yet not gone.
+	for name, m := range c.machines {
+		if !machines[name] && m.version <= revision {
+			c.machineDeleted(name, now)
+		}
+	}
+	for _, p := range c.parts {
+		if key := bookkeeping.ClaimKey(p.index); !claims[key] && p.version != 0 {
+			c.applyEvent(protocol.Event{Delete: key, Version: revision})
+		}
+	}
+	if !claims[bookkeeping.LeaderKey] {
+		c.applyEvent(protocol.Event{Delete: bookkeeping.LeaderKey, Version: revision})
+	}
+	if !c.synced {
+		c.synced = true
+		c.log.Info("records read", "jobs", len(c.jobs), "final", len(c.finals), "machines", len(c.machines))
+	}
+}
+
+func (c *Controller) applyEvent(e protocol.Event) {
+	now := time.Now()
+	key := e.Put + e.Delete
+	kind, name := bookkeeping.ParseKey(key)
+	switch kind {
+	case bookkeeping.KindClaim:
+		for _, p := range c.parts {
+			if bookkeeping.ClaimKey(p.index) == key {
+				c.applyClaim(p, e, now)
+			}
+		}
+	case bookkeeping.KindLeader:
+		c.applyLeader(e, now)
+	case bookkeeping.KindMachine:
+		if e.Delete != "" {
+			if m := c.machines[name]; m != nil && e.Version >= m.version {
+				c.machineDeleted(name, now)
+			}
+			return
+		}
+		var rec bookkeeping.Machine
+		if err := bookkeeping.Decode(e.Value, &rec); err != nil || rec.Part < 0 || rec.Part >= len(c.parts) {
+			c.log.Error("bad machine record", "machine", name, "reason", err)
+			return
+		}
+		c.machineRecorded(name, rec, e.Version, now)
+	case bookkeeping.KindJob:
+		if e.Delete == "" {
+			c.applyJobRecord(name, e.Value)
+		}
+	case bookkeeping.KindFinal:
+		if e.Delete == "" {
+			c.applyFinalRecord(name, e.Value)
+		}
+	case bookkeeping.KindCatalog:
+		var cat protocol.Catalog
+		if e.Delete == "" && bookkeeping.Decode(e.Value, &cat) == nil && len(c.catalog) == 0 {
+			c.setCatalog(cat.Types)
+		}
+	}
+}
+
+func (c *Controller) setCatalog(types []protocol.MachineType) {
+	c.catalog = types
+	c.types = map[string]*protocol.MachineType{}
+	for i := range types {
+		c.types[types[i].Name] = &types[i]
+	}
+	for _, m := range c.machines {
+		m.typ = c.types[m.rec.Type]
+	}
+}
+
+// applyJobRecord takes up an accepted job. Records never change.
+func (c *Controller) applyJobRecord(id string, raw []byte) {
+	if c.jobs[id] != nil || c.finals[id] != "" {
+		return
+	}
+	spec := new(protocol.JobSpec)
+	if err := bookkeeping.Decode(raw, spec); err != nil || spec.Tasks < 1 {
+		c.log.Error("bad job record", "job", id, "reason", err)
+		return
+	}
+	team, ok := c.teamIndex[spec.Team]
+	if !ok {
+		c.log.Error("job of a team that is not in the settings", "job", id, "team", spec.Team)
+		return
+	}
+	now := time.Now()
+	age := time.Duration(max(0, now.UnixMilli()-spec.SubmittedMS)) * time.Millisecond
+	j := &job{spec: spec, part: c.teamPart[team], team: team, received: now.Add(-age)}
+	c.jobs[id] = j
+	if p := c.parts[j.part]; p.mine && p.ready {
+		j.own()
+		p.wake()
+	}
+}
+
+// own prepares a job for its part's owner, with all tasks waiting.
+func (j *job) own() {
+	j.owned = true
+	j.done = make([]bool, j.spec.Tasks)
+	j.doneCount, j.running, j.finishing = 0, 0, false
+	j.live, j.chunks, j.failedOn = map[int]*attempt{}, map[int]*chunk{}, map[string]bool{}
+	j.queue = make([]int, j.spec.Tasks)
+	for i := range j.queue {
+		j.queue[i] = i
+	}
+}
+
+// disown forgets what only the owner keeps.
+func (j *job) disown() {
+	j.owned, j.done, j.live, j.chunks, j.queue = false, nil, nil, nil, nil
+	j.finishing, j.running, j.doneCount = false, 0, 0
+}
+
+func (c *Controller) applyFinalRecord(id string, raw []byte) {
+	var f bookkeeping.Final
+	if err := bookkeeping.Decode(raw, &f); err != nil {
+		c.log.Error("bad final record", "job", id, "reason", err)
+		return
+	}
+	c.setFinal(id, f.Status)
+}
+
+// setFinal notes that a job is done or withdrawn, for good.
+func (c *Controller) setFinal(id, status string) {
+	if c.finals[id] != "" {
+		return
+	}
+	c.finals[id] = status
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	if !j.owned {
+		delete(c.jobs, id)
+		return
+	}
+	j.withdrawn = true
+	j.queue = nil
+	now := time.Now()
+	if status == protocol.StatusWithdrawn {
+		c.log.Info("job withdrawn", "job", id, "live", len(j.live))
+	}
+	for _, a := range j.live {
+		c.stopAttempt(a, 0, now)
+	}
+	c.parts[j.part].wake()
+	c.dropIfOver(j)
+}
+
+// dropIfOver forgets a job that has ended and holds nothing any more.
+func (c *Controller) dropIfOver(j *job) {
+	if c.finals[j.spec.ID] == "" || len(j.live) > 0 {
+		return
+	}
+	now := time.Now()
+	left := false
+	for _, ch := range j.chunks {
+		if ch.version != 0 || ch.unsure {
+			left = true
+			if !ch.dirty {
+				ch.dirty, ch.since = true, now
+			}
+		}
+	}
+	if left {
+		return
+	}
+	for _, ch := range j.chunks {
+		for _, a := range ch.ended {
+			a.state = attemptOver
+		}
+	}
+	delete(c.jobs, j.spec.ID)
+}
--- /dev/null
+++ b/internal/coordination/model.go
@@ -0,0 +1,253 @@
+package coordination
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/settings"
+)
+
+// attemptState is how far an attempt has come.
+type attemptState int
+
+const (
+	attemptReserved  attemptState = iota // held in memory, not yet on record
+	attemptCommitted                     // on record; the start may be sent
+	attemptSeen                          // the worker confirmed that it knows it
+	attemptEnded                         // the worker reported its end
+	attemptOver                          // proven over; waits to leave the record
+)
+
+// attempt is one try of a task on one session of a machine.
+type attempt struct {
+	job     *job
+	task    int
+	number  uint64
+	machine *machine
+	session uint64
+	state   attemptState
+
+	status    string // what the worker last said of it
+	cause     string
+	startedAt time.Time // first seen running
+	committed time.Time
+	sentToken uint64 // highest token under which a start was sent
+	inFlight  int    // orders on their way that carry its start
+	// unanswered says that a start was sent and nobody knows whether it
+	// arrived: it may still, so the attempt must not be reaped under this token.
+	unanswered bool
+	stopping   bool
+	stopGrace  float64
+	stopAt     time.Time
+}
+
+func (a *attempt) wire() string { return protocol.TaskName(a.job.spec.ID, a.task) }
+
+// live says that the attempt may still be or come to be on its machine.
+func (a *attempt) live() bool { return a.state < attemptEnded }
+
+// chunk is one run record of a job.
+type chunk struct {
+	index   int
+	version uint64
+	last    uint64
+	dirty   bool      // differs from its record
+	urgent  bool      // holds starts that wait for the record
+	since   time.Time // when it became dirty
+	unsure  bool      // a commit went unanswered: read the key before writing
+	gen     uint64    // counts changes, to tell what a commit has missed
+	ended   []*attempt
+}
+
+// job is an unfinished job. Only its part's owner fills in the second half.
+type job struct {
+	spec     *protocol.JobSpec
+	part     int
+	team     int
+	received time.Time // steady-clock moment of the submission, as well as known
+
+	owned     bool
+	withdrawn bool
+	finishing bool
+	done      []bool
+	doneCount int
+	queue     []int // tasks that wait, in order
+	live      map[int]*attempt
+	chunks    map[int]*chunk
+	failures  int
+	failedOn  map[string]bool
+	holdTill  time.Time
+	running   int
+}
+
+func (j *job) chunk(task int) *chunk {
+	i := task / bookkeeping.ChunkTasks
+	c := j.chunks[i]
+	if c == nil {
+		c = &chunk{index: i}
+		j.chunks[i] = c
+	}
+	return c
+}
+
+func (j *job) touch(task int, urgent bool, now time.Time) {
+	c := j.chunk(task)
+	if !c.dirty {
+		c.dirty, c.since = true, now
+	}
+	c.gen++
+	c.urgent = c.urgent || urgent
+}
+
+// record is the chunk as it should stand in the state service.
+func (j *job) record(c *chunk) bookkeeping.Run {
+	run := bookkeeping.Run{Last: c.last, Done: [][2]int{}, Live: []bookkeeping.Attempt{}}
+	from, to := c.index*bookkeeping.ChunkTasks, min((c.index+1)*bookkeeping.ChunkTasks, j.spec.Tasks)
+	for t := from; t < to; t++ {
+		if j.done[t] {
+			if n := len(run.Done); n > 0 && run.Done[n-1][1] == t-1 {
+				run.Done[n-1][1] = t
+			} else {
+				run.Done = append(run.Done, [2]int{t, t})
+			}
+		}
+		if a := j.live[t]; a != nil && a.live() {
+			run.Live = append(run.Live, bookkeeping.Attempt{Task: t, Number: a.number, Machine: a.machine.name, Session: a.session})
+		}
+	}
+	return run
+}
+
+// machine is a rented machine on record.
+type machine struct {
+	name    string
+	rec     bookkeeping.Machine
+	version uint64
+	typ     *protocol.MachineType
+
+	heard      bool   // has reported to us at all
+	session    uint64 // newest seen
+	sequence   uint64
+	fenced     bool // a report under our token has come
+	lastHeard  time.Time
+	answeredBy time.Time // last moment at which anybody may have answered a report
+	lost       bool
+	notice     time.Time // when the cloud takes it away; zero if not announced
+	retiring   time.Time
+	moving     bool
+	faulty     bool
+	avoidTill  time.Time
+	errorJobs  map[string]bool
+	idleSince  time.Time
+	recordedAt time.Time
+	wantBump   bool
+	sending    bool
+	again      bool
+	lastOrders time.Time
+	attempts   map[string]*attempt // by wire name and number
+	foreign    map[string]protocol.TaskReport
+	images     map[string]time.Time
+
+	usedCPUs, usedGPUs, usedMem float64
+}
+
+func attemptKey(task string, number uint64) string {
+	var buf [20]byte
+	i := len(buf)
+	for n := number; ; n /= 10 {
+		i--
+		buf[i] = byte('0' + n%10)
+		if n < 10 {
+			break
+		}
+	}
+	return task + "#" + string(buf[i:])
+}
+
+// resources recounts what the attempts on the machine hold.
+func (m *machine) resources() {
+	m.usedCPUs, m.usedGPUs, m.usedMem = 0, 0, 0
+	for _, a := range m.attempts {
+		if a.live() {
+			m.usedCPUs += a.job.spec.CPUs
+			m.usedGPUs += a.job.spec.GPUs
+			m.usedMem += a.job.spec.MemGB
+		}
+	}
+}
+
+const epsilon = 1e-6
+
+func (m *machine) fits(s *protocol.JobSpec) bool {
+	return m.typ != nil && s.CPUs <= m.typ.CPUs-m.usedCPUs+epsilon &&
+		s.GPUs <= m.typ.GPUs-m.usedGPUs+epsilon && s.MemGB <= m.typ.MemGB-m.usedMem+epsilon
+}
+
+// allowed checks what the worker does not: type, zone and kind.
+func allowed(s *protocol.JobSpec, typeName, zone string, spot bool) bool {
+	return (len(s.Types) == 0 || slices.Contains(s.Types, typeName)) &&
+		(s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
+}
+
+// typeFits says whether a task fits an empty machine of the type, in a zone
+// where the type is offered.
+func typeFits(s *protocol.JobSpec, t *protocol.MachineType) bool {
+	return (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) &&
+		(s.Zone == "" || len(t.ZonesOffered) == 0 || slices.Contains(t.ZonesOffered, s.Zone)) &&
+		s.CPUs <= t.CPUs+epsilon && s.GPUs <= t.GPUs+epsilon && s.MemGB <= t.MemGB+epsilon
+}
+
+// part is a share of the teams, with its owner.
+type part struct {
+	index   int
+	owner   string
+	version uint64 // revision of the claim; 0: unclaimed
+	orphan  time.Time
+	mine    bool
+	ready   bool // rebuilt from the records
+	claimed time.Time
+	kick    chan struct{}
+	usage   []quota // by team
+}
+
+// quota counts what a team's live attempts use.
+type quota struct{ cpus, gpus float64 }
+
+// teamParts maps teams to as many parts as controllers, balanced by
+// guarantee; teams without one weigh alike.
+func teamParts(teams []settings.Team, count int) []int {
+	order := make([]int, len(teams))
+	for i := range order {
+		order[i] = i
+	}
+	weight := func(i int) float64 { return teams[i].CPUs + 16*teams[i].GPUs + 1 }
+	slices.SortStableFunc(order, func(a, b int) int {
+		switch d := weight(b) - weight(a); {
+		case d > 0:
+			return 1
+		case d < 0:
+			return -1
+		}
+		return 0
+	})
+	load := make([]float64, count)
+	parts := make([]int, len(teams))
+	for _, t := range order {
+		least := 0
+		for p := range load {
+			if load[p] < load[least] {
+				least = p
+			}
+		}
+		parts[t] = least
+		load[least] += weight(t)
+	}
+	return parts
+}
+
+// zoneCeiling is how many of n tasks may be in one zone when they are to be
+// kept apart.
+func zoneCeiling(n int) int { return int(math.Ceil(float64(n) / 2)) }
--- /dev/null
+++ b/internal/coordination/peers.go
@@ -0,0 +1,230 @@
+package coordination
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/protocol/peer"
+	"micaspindle/internal/transport"
+)
+
+const (
+	summaryPath  = "/peer/summary"
+	fleetPath    = "/peer/fleet"
+	summaryEvery = 500 * time.Millisecond
+	// MaxPeerBody bounds a message of another controller.
+	MaxPeerBody = 1 << 20
+)
+
+// ServePeers answers the other controllers.
+func (c *Controller) ServePeers(_ context.Context, req *transport.Request) transport.Response {
+	switch {
+	case req.Method != "POST":
+		return refuse(405, "method not allowed", 0)
+	case req.Path == summaryPath:
+		sum := new(peer.Summary)
+		if err := proto.Unmarshal(req.Body, sum); err != nil {
+			return refuse(400, "bad summary", 0)
+		}
+		c.do(func() { c.heardPeer(sum) })
+		return transport.Response{Status: 200}
+	case req.Path == fleetPath:
+		fr := new(peer.FleetRequest)
+		if err := proto.Unmarshal(req.Body, fr); err != nil {
+			return refuse(400, "bad request", 0)
+		}
+		body, err := proto.Marshal(c.fleetRequest(fr))
+		if err != nil {
+			return refuse(500, "reply failed", 0)
+		}
+		return transport.Response{Status: 200, Body: body}
+	}
+	return refuse(404, "no such path", 0)
+}
+
+func (c *Controller) heardPeer(sum *peer.Summary) {
+	ps := c.peers[sum.From]
+	if ps == nil {
+		return
+	}
+	now := time.Now()
+	if now.Sub(ps.heard) > 2*time.Second {
+		ps.since = now
+	}
+	ps.heard, ps.summary = now, sum
+	// Addresses learnt by others let a new owner fence at once.
+	for _, part := range sum.Parts {
+		for _, st := range part.Machines {
+			if m := c.machines[st.Name]; m != nil && !m.heard {
+				if m.rec.Addr == "" {
+					m.rec.Addr = st.Addr
+				}
+			}
+		}
+	}
+}
+
+// peerDuty tells one other controller several times a second how things are.
+func (c *Controller) peerDuty(label string) {
+	ps := c.peers[label]
+	for c.sleep(summaryEvery) {
+		var body []byte
+		c.do(func() {
+			if c.synced {
+				body, _ = proto.Marshal(c.summary(time.Now()))
+			}
+		})
+		if body == nil {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(c.ctx, time.Second)
+		if _, err := c.net.Do(ctx, ps.addr, "POST", summaryPath, body); err != nil {
+			c.log.Debug("peer not reached", "peer", label, "reason", err)
+		}
+		cancel()
+	}
+}
+
+// summary describes this controller and its parts.
+func (c *Controller) summary(now time.Time) *peer.Summary {
+	sum := &peer.Summary{From: c.set.Label, StateSilenceS: c.store.Silence().Seconds()}
+	for _, p := range c.parts {
+		if p.mine && p.ready {
+			sum.Parts = append(sum.Parts, c.partSummary(p, now))
+		}
+	}
+	for _, j := range c.jobs {
+		if j.owned && (j.doneCount > 0 || j.running > 0) && len(sum.Jobs) < 2000 {
+			sum.Jobs = append(sum.Jobs, &peer.JobProgress{Id: j.spec.ID, Done: uint32(j.doneCount), Running: uint32(j.running)})
+		}
+	}
+	for _, u := range c.unknown {
+		sum.Unknown = append(sum.Unknown, u)
+	}
+	for name := range c.strayed {
+		sum.Strayed = append(sum.Strayed, name)
+	}
+	return sum
+}
+
+func (c *Controller) partSummary(p *part, now time.Time) *peer.PartSummary {
+	ps := &peer.PartSummary{Part: uint32(p.index), Claim: p.version}
+	type room struct{ cpus, gpus, mem float64 }
+	var booting []*machine
+	left := map[*machine]*room{}
+	for _, m := range c.machines {
+		if m.rec.Part != p.index {
+			continue
+		}
+		idle := len(m.attempts) == 0 && len(m.foreign) == 0 && m.fenced && !m.sending
+		st := &peer.MachineStatus{Name: m.name, Heard: m.heard, Idle: idle, Lost: m.lost, Retiring: !m.retiring.IsZero(),
+			Faulty: m.faulty, Addr: m.rec.Addr, Session: m.session}
+		if m.typ != nil {
+			st.FreeCpus, st.FreeGpus, st.FreeMemGb = m.typ.CPUs-m.usedCPUs, m.typ.GPUs-m.usedGPUs, m.typ.MemGB-m.usedMem
+		}
+		if idle {
+			st.IdleS = now.Sub(m.idleSince).Seconds()
+		}
+		ps.Machines = append(ps.Machines, st)
+		// A machine that still boots, or was just moved here, will take some
+		// of what waits.
+		if m.typ != nil && !m.lost && !m.faulty && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
+			now.Sub(m.recordedAt) < c.bootLimit(m.typ) {
+			booting = append(booting, m)
+			left[m] = &room{st.FreeCpus, st.FreeGpus, st.FreeMemGb}
+		}
+	}
+	for _, j := range c.inOrder(p) {
+		if len(j.queue) == 0 || j.withdrawn || now.Before(j.holdTill) {
+			continue
+		}
+		s := j.spec
+		n := len(j.queue)
+		team := c.set.Params.Teams[j.team]
+		if team.CPUsMax > 0 && s.CPUs > 0 {
+			n = min(n, int((team.CPUsMax-p.usage[j.team].cpus+epsilon)/s.CPUs))
+		}
+		if team.GPUsMax > 0 && s.GPUs > 0 {
+			n = min(n, int((team.GPUsMax-p.usage[j.team].gpus+epsilon)/s.GPUs))
+		}
+		for _, m := range booting {
+			r := left[m]
+			for n > 0 && allowed(s, m.rec.Type, m.rec.Zone, m.rec.Spot) &&
+				s.CPUs <= r.cpus+epsilon && s.GPUs <= r.gpus+epsilon && s.MemGB <= r.mem+epsilon {
+				r.cpus, r.gpus, r.mem = r.cpus-s.CPUs, r.gpus-s.GPUs, r.mem-s.MemGB
+				n--
+			}
+		}
+		if n <= 0 {
+			continue
+		}
+		ps.Demands = append(ps.Demands, &peer.Demand{Cpus: s.CPUs, Gpus: s.GPUs, MemGb: s.MemGB, Types: s.Types, Zone: s.Zone,
+			Spot: s.Spot, Count: uint32(n), WaitedS: now.Sub(j.received).Seconds(), Urgency: uint32(s.Urgency),
+			EstimateS: c.estimate(s), Image: s.Image, SlackS: j.due().Sub(now).Seconds()})
+		if len(ps.Demands) >= 200 {
+			break
+		}
+	}
+	return ps
+}
+
+// bootLimit is how long a machine may take to come up before it is given up.
+func (c *Controller) bootLimit(t *protocol.MachineType) time.Duration {
+	return time.Duration((3*t.BootS + 15) * float64(time.Second))
+}
+
+// fleetRequest does what the leader asks about one of this owner's machines.
+func (c *Controller) fleetRequest(fr *peer.FleetRequest) *peer.FleetReply {
+	reply := &peer.FleetReply{Reason: "stopping"}
+	var txn *protocol.Transaction
+	var m *machine
+	var rec bookkeeping.Machine
+	c.do(func() {
+		m = c.machines[fr.Machine]
+		if m == nil || !c.parts[m.rec.Part].ready || int(fr.ToPart) >= len(c.parts) {
+			reply.Reason = "not mine"
+			return
+		}
+		if m.heard && !m.lost && (len(m.attempts) > 0 || len(m.foreign) > 0 || m.sending || m.moving || !m.fenced) || !m.heard && !fr.Retire {
+			reply.Reason = "in use"
+			return
+		}
+		if fr.Retire {
+			m.retiring = time.Now()
+			reply.Ok = true
+			return
+		}
+		// Every order is answered and the newest report is empty (10).
+		m.moving = true
+		rec = m.rec
+		rec.Part = int(fr.ToPart)
+		p := c.parts[m.rec.Part]
+		txn = &protocol.Transaction{
+			If: []protocol.Condition{{Key: bookkeeping.ClaimKey(p.index), Version: p.version},
+				{Key: bookkeeping.MachineKey(m.name), Version: m.version}},
+			Then: []protocol.Change{{Put: bookkeeping.MachineKey(m.name), Value: bookkeeping.Encode(rec)}},
+		}
+	})
+	if txn == nil {
+		return reply
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, 2*time.Second)
+	defer cancel()
+	rev, err := c.store.Commit(ctx, txn)
+	c.do(func() {
+		if err == nil {
+			c.machineRecorded(m.name, rec, rev, time.Now())
+			reply.Ok = true
+			return
+		}
+		reply.Reason = err.Error()
+		// An unanswered move may still be applied; until the record shows, the
+		// machine stays out of use for a while and is then claimed by a bump.
+		m.wantBump = true
+	})
+	return reply
+}
--- /dev/null
+++ b/internal/coordination/procon/procon.go
@@ -0,0 +1,111 @@
+// Package procon computes the contention that progress-based placement
+// (ProCon, Fu et al.) compares: expected co-running tasks per second. It is
+// pure, so that it can be checked against values worked out by hand.
+package procon
+
+import "math"
+
+// full is MAX, the progress of a task that has ended, in percent.
+const full = 100
+
+// Task is a running task as the prediction sees it.
+type Task struct {
+	ElapsedS  float64
+	EstimateS float64
+	// Use is the share measure R: what the task occupies on its machine.
+	Use float64
+	// Service says that the task runs until the horizon ends.
+	Service bool
+}
+
+// Machine is a candidate with its running tasks.
+type Machine struct {
+	Tasks []Task
+	// Limit is the use below which the machine counts as under its limit.
+	Limit float64
+}
+
+// Horizon bounds predictions.
+type Horizon struct {
+	// MaxS is when services count as over; no prediction goes beyond it.
+	MaxS float64
+	// OverdueS is what a task past its estimate still gets: one report period.
+	OverdueS float64
+}
+
+// Remaining is the remaining-time indicator i = f / u × (MAX − P) of equation
+// 3. Workers report no progress, so P is elapsed time over the estimate in
+// percent and f the estimate over 100.
+func (h Horizon) Remaining(t Task, u float64) float64 {
+	if t.Service {
+		return h.MaxS
+	}
+	if t.EstimateS <= 0 || t.ElapsedS >= t.EstimateS {
+		return min(h.OverdueS, h.MaxS)
+	}
+	if u <= 0 {
+		return h.MaxS
+	}
+	f := t.EstimateS / full
+	p := t.ElapsedS / t.EstimateS * full
+	return min(f/u*(full-p), h.MaxS)
+}
+
+// Contention is algorithm 1: the sum over each second until the largest
+// indicator of the expected running tasks minus one. A task with indicator i
+// runs in ceil(i) of these seconds, so the sum needs no loop over seconds.
+func (h Horizon) Contention(tasks []Task) float64 {
+	total := Use(tasks)
+	return h.sum(tasks, func(t Task) float64 { return t.Use / total })
+}
+
+// EvenContention recomputes a machine's contention as if newcomer had joined
+// and each task got 1/(running tasks + 1).
+func (h Horizon) EvenContention(tasks []Task, newcomer Task) float64 {
+	joined := append(append(make([]Task, 0, len(tasks)+1), tasks...), newcomer)
+	even := 1 / float64(len(joined))
+	return h.sum(joined, func(Task) float64 { return even })
+}
+
+func (h Horizon) sum(tasks []Task, share func(Task) float64) float64 {
+	var sum, longest float64
+	for _, t := range tasks {
+		seconds := math.Ceil(h.Remaining(t, share(t)))
+		sum += seconds
+		longest = max(longest, seconds)
+	}
+	return sum - longest
+}
+
+// Use is the summed use of tasks.
+func Use(tasks []Task) float64 {
+	var sum float64
+	for _, t := range tasks {
+		sum += t.Use
+	}
+	return sum
+}
+
+// Choose is algorithm 2: the index of the machine to place newcomer on, or -1
+// without candidates. Machines under their limit go first, by contention as it
+// is; if there is none, all compete by even-share contention. The earlier
+// candidate wins a tie.
+func (h Horizon) Choose(machines []Machine, newcomer Task) int {
+	best, least := -1, math.Inf(1)
+	for i, m := range machines {
+		if Use(m.Tasks) < m.Limit {
+			if c := h.Contention(m.Tasks); c < least {
+				best, least = i, c
+			}
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	for i, m := range machines {
+		if c := h.EvenContention(m.Tasks, newcomer); c < least {
+			best, least = i, c
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/coordination/rent.go
@@ -0,0 +1,134 @@
+package coordination
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/protocol/peer"
+)
+
+// rent asks the cloud for machines for what waits and finds no room.
+func (c *Controller) rent(views []*view, now time.Time) {
+	for _, v := range views {
+		if v == nil {
+			continue
+		}
+		pending := false
+		for _, r := range c.leader.renting {
+			pending = pending || r.part == v.part
+		}
+		if pending {
+			continue // the summary does not know yet what this one brings
+		}
+		wanted := map[offer]int{}
+		for _, d := range v.demands {
+			for d.Count > 0 {
+				o, n := c.cheapest(d, now)
+				if n == 0 {
+					break
+				}
+				wanted[o]++
+				c.fill(o, v.demands)
+			}
+		}
+		for o, n := range wanted {
+			c.startRental(o, v.part, n)
+		}
+	}
+}
+
+// cheapest picks the offer that serves a demand at the least price for each of
+// its tasks, and how many of them it holds.
+func (c *Controller) cheapest(d *peer.Demand, now time.Time) (offer, int) {
+	var best offer
+	held, least := 0, math.Inf(1)
+	for i := range c.catalog {
+		t := &c.catalog[i]
+		n := howMany(d, t.CPUs, t.GPUs, t.MemGB)
+		if n == 0 {
+			continue
+		}
+		zones := slices.Clone(t.ZonesOffered)
+		slices.Sort(zones)
+		for _, zone := range zones {
+			for _, spot := range []bool{true, false} {
+				o := offer{t.Name, zone, spot}
+				if !demandAllows(d, t.Name, zone, spot) || now.Before(c.leader.refused[o]) {
+					continue
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				if cost := price / float64(n); cost < least-epsilon {
+					best, held, least = o, n, cost
+				}
+			}
+		}
+	}
+	return best, held
+}
+
+// fill takes from the demands what a machine of the offer would run.
+func (c *Controller) fill(o offer, demands []*peer.Demand) {
+	t := c.types[o.typ]
+	cpus, gpus, mem := t.CPUs, t.GPUs, t.MemGB
+	for _, d := range demands {
+		if !demandAllows(d, o.typ, o.zone, o.spot) {
+			continue
+		}
+		n := howMany(d, cpus, gpus, mem)
+		d.Count -= uint32(n)
+		cpus, gpus, mem = cpus-float64(n)*d.Cpus, gpus-float64(n)*d.Gpus, mem-float64(n)*d.MemGb
+	}
+}
+
+// startRental sends one request. Its name holds the revision of the leader's
+// claim and a counter, so that no other request ever has it.
+func (c *Controller) startRental(o offer, part, count int) {
+	l := &c.leader
+	l.counter++
+	name := fmt.Sprintf("r-%d-%d", l.version, l.counter)
+	r := &rental{offer: o, part: part, count: min(count, 50)}
+	l.renting[name] = r
+	version := l.version
+	c.log.Info("renting", "request", name, "type", o.typ, "zone", o.zone, "spot", o.spot, "count", count, "part", part)
+	c.duty.Go(func() { c.finishRental(name, r, version) })
+}
+
+// finishRental repeats a request under its name until it is answered.
+func (c *Controller) finishRental(name string, r *rental, version uint64) {
+	req := protocol.Rental{Request: name, Type: r.offer.typ, Zone: r.offer.zone, Spot: r.offer.spot, Count: r.count}
+	for {
+		var names protocol.MachineNames
+		status, err := c.cloud("POST", "/machines", req, &names)
+		switch {
+		case err == nil && status == 200:
+			if len(names.Machines) < r.count {
+				c.do(func() { c.leader.refused[r.offer] = time.Now().Add(15 * time.Second) })
+				c.log.Info("rental partly filled", "request", name, "machines", len(names.Machines), "asked", r.count)
+			}
+			c.recordMachines(names.Machines, bookkeeping.Machine{Part: r.part, Type: r.offer.typ, Zone: r.offer.zone,
+				Spot: r.offer.spot, RentedMS: time.Now().UnixMilli()})
+			c.do(func() { delete(c.leader.renting, name) })
+			return
+		case err == nil && (status == 503 || status == 400):
+			c.log.Info("rental refused", "request", name, "type", r.offer.typ, "zone", r.offer.zone, "spot", r.offer.spot, "status", status)
+			c.do(func() {
+				c.leader.refused[r.offer] = time.Now().Add(15 * time.Second)
+				delete(c.leader.renting, name)
+			})
+			return
+		}
+		c.log.Debug("rental unanswered", "request", name, "status", status, "reason", err)
+		leading := false
+		c.do(func() { leading = c.leader.mine && c.leader.version == version })
+		if !leading || !c.sleep(time.Second) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/schedule.go
@@ -0,0 +1,527 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"strings"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/procon"
+	"micaspindle/internal/protocol"
+)
+
+// lazyRecord is how long a record that no start and no user waits for may
+// gather further changes before it is written.
+const lazyRecord = 2 * time.Second
+
+// batch is one transaction of a part's owner and what it stands for.
+type batch struct {
+	txn    protocol.Transaction
+	chunks []batchChunk
+	finals []*job
+	bumps  []*machine
+	starts []*attempt
+}
+
+type batchChunk struct {
+	job     *job
+	chunk   *chunk
+	gen     uint64
+	ended   []*attempt
+	deleted bool
+}
+
+// commitDuty writes a part's records, one transaction at a time.
+func (c *Controller) commitDuty(p *part) {
+	for {
+		select {
+		case <-p.kick:
+		case <-c.ctx.Done():
+			return
+		}
+		for {
+			var b *batch
+			var unsure []batchChunk
+			c.do(func() {
+				if unsure = c.unsure(p); len(unsure) == 0 {
+					b = c.prepare(p, time.Now())
+				}
+			})
+			if len(unsure) > 0 && !c.reread(p, unsure) && !c.sleep(200*time.Millisecond) {
+				return
+			}
+			if b == nil {
+				break
+			}
+			ctx, cancel := context.WithTimeout(c.ctx, 10*time.Second)
+			rev, err := c.store.Commit(ctx, &b.txn)
+			cancel()
+			c.do(func() { c.committed(p, b, rev, err) })
+			if err != nil && !c.sleep(150*time.Millisecond) {
+				return
+			}
+		}
+	}
+}
+
+// unsure lists chunks whose last write went unanswered.
+func (c *Controller) unsure(p *part) []batchChunk {
+	var list []batchChunk
+	if !p.mine || !p.ready {
+		return nil
+	}
+	for _, j := range c.jobs {
+		if j.part == p.index && j.owned {
+			for _, ch := range j.chunks {
+				if ch.unsure && len(list) < 8 {
+					list = append(list, batchChunk{job: j, chunk: ch})
+				}
+			}
+		}
+	}
+	return list
+}
+
+// reread reads keys whose write went unanswered. The stamp seen goes into the
+// next write's conditions, so that the late one and the retry exclude each
+// other (2).
+func (c *Controller) reread(p *part, list []batchChunk) bool {
+	for _, b := range list {
+		id := b.job.spec.ID
+		item, err := c.store.Get(c.ctx, bookkeeping.RunKey(p.index, id, b.chunk.index))
+		if err != nil && !errors.Is(err, bookkeeping.ErrNotFound) {
+			return false
+		}
+		final, ferr := c.store.Get(c.ctx, bookkeeping.FinalKey(id))
+		if ferr != nil && !errors.Is(ferr, bookkeeping.ErrNotFound) {
+			return false
+		}
+		c.do(func() {
+			b.chunk.unsure = false
+			b.chunk.version = 0
+			if err == nil {
+				b.chunk.version = item.Version
+			}
+			b.job.touch(b.chunk.index*bookkeeping.ChunkTasks, true, time.Now())
+			if ferr == nil {
+				c.applyFinalRecord(id, final.Value)
+			}
+		})
+	}
+	return true
+}
+
+// prepare places waiting tasks and gathers what should be written now.
+func (c *Controller) prepare(p *part, now time.Time) *batch {
+	if !p.mine || !p.ready || now.Sub(c.renewed) > c.op.ClaimTTL+10*time.Second {
+		return nil
+	}
+	c.place(p, now)
+	b := &batch{}
+	b.txn.If = append(b.txn.If, protocol.Condition{Key: bookkeeping.ClaimKey(p.index), Version: p.version})
+	ops := c.store.TxnOps
+	size := 0
+	for _, j := range c.inOrder(p) {
+		if j.finishing && c.finals[j.spec.ID] == "" {
+			c.addFinal(b, p, j, now, ops)
+			continue
+		}
+		for _, ch := range j.chunks {
+			due := ch.urgent || now.Sub(ch.since) > lazyRecord
+			if !ch.dirty || ch.unsure || !due || len(b.txn.Then) >= ops || size > 40<<10 {
+				continue
+			}
+			size += c.addChunk(b, p, j, ch)
+		}
+	}
+	for _, m := range c.machines {
+		if m.wantBump && m.rec.Part == p.index && !m.sending && len(b.txn.Then) < ops {
+			// Writing the record again raises the machine's token.
+			key := bookkeeping.MachineKey(m.name)
+			b.txn.If = append(b.txn.If, protocol.Condition{Key: key, Version: m.version})
+			b.txn.Then = append(b.txn.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(m.rec)})
+			b.bumps = append(b.bumps, m)
+		}
+	}
+	if len(b.txn.Then) == 0 {
+		return nil
+	}
+	return b
+}
+
+func (c *Controller) addChunk(b *batch, p *part, j *job, ch *chunk) int {
+	id := j.spec.ID
+	key := bookkeeping.RunKey(p.index, id, ch.index)
+	run := j.record(ch)
+	bc := batchChunk{job: j, chunk: ch, gen: ch.gen, ended: ch.ended}
+	ch.ended = nil
+	if c.finals[id] != "" && len(run.Live) == 0 {
+		bc.deleted = true
+		if ch.version == 0 {
+			// Nothing on record, nothing to remove.
+			ch.dirty = false
+			for _, a := range bc.ended {
+				a.state = attemptOver
+			}
+			delete(j.chunks, ch.index)
+			c.dropIfOver(j)
+			return 0
+		}
+	}
+	b.txn.If = append(b.txn.If, protocol.Condition{Key: key, Version: ch.version})
+	if bc.deleted {
+		b.txn.Then = append(b.txn.Then, protocol.Change{Delete: key})
+		b.chunks = append(b.chunks, bc)
+		return 100
+	}
+	value := bookkeeping.Encode(run)
+	b.txn.Then = append(b.txn.Then, protocol.Change{Put: key, Value: value})
+	from := len(b.starts)
+	for _, r := range run.Live {
+		if a := j.live[r.Task]; a.state == attemptReserved {
+			b.starts = append(b.starts, a)
+		}
+	}
+	if len(b.starts) > from {
+		// No start after a withdrawal (17).
+		b.txn.If = append(b.txn.If, protocol.Condition{Key: bookkeeping.FinalKey(id), Version: 0})
+	}
+	b.chunks = append(b.chunks, bc)
+	return 2 * len(value)
+}
+
+// addFinal makes a job done and removes its run records if they fit in.
+func (c *Controller) addFinal(b *batch, p *part, j *job, now time.Time, ops int) {
+	if len(b.txn.Then) >= ops {
+		return
+	}
+	id := j.spec.ID
+	key := bookkeeping.FinalKey(id)
+	b.txn.If = append(b.txn.If, protocol.Condition{Key: key, Version: 0})
+	b.txn.Then = append(b.txn.Then, protocol.Change{Put: key,
+		Value: bookkeeping.Encode(bookkeeping.Final{Status: protocol.StatusDone, AtMS: now.UnixMilli()})})
+	b.finals = append(b.finals, j)
+	for _, ch := range j.chunks {
+		if ch.unsure || len(b.txn.Then) >= ops {
+			continue
+		}
+		bc := batchChunk{job: j, chunk: ch, gen: ch.gen, ended: ch.ended, deleted: true}
+		ch.ended = nil
+		if ch.version != 0 {
+			rk := bookkeeping.RunKey(p.index, id, ch.index)
+			b.txn.If = append(b.txn.If, protocol.Condition{Key: rk, Version: ch.version})
+			b.txn.Then = append(b.txn.Then, protocol.Change{Delete: rk})
+		}
+		b.chunks = append(b.chunks, bc)
+	}
+}
+
+// committed takes in the outcome of a batch.
+func (c *Controller) committed(p *part, b *batch, rev uint64, err error) {
+	now := time.Now()
+	if err != nil {
+		c.notCommitted(p, b, err)
+		return
+	}
+	if !p.mine || b.txn.If[0].Version != p.version {
+		return
+	}
+	for _, bc := range b.chunks {
+		ch := bc.chunk
+		ch.version = rev
+		if ch.gen == bc.gen {
+			ch.dirty, ch.urgent = false, false
+		} else {
+			ch.since = now
+		}
+		for _, a := range bc.ended {
+			a.state = attemptOver
+		}
+		if bc.deleted {
+			ch.version = 0
+			delete(bc.job.chunks, ch.index)
+		}
+	}
+	targets := map[*machine]bool{}
+	for _, a := range b.starts {
+		if a.state == attemptReserved {
+			a.state, a.committed = attemptCommitted, now
+			targets[a.machine] = true
+		}
+	}
+	for m := range targets {
+		c.sendOrders(m)
+	}
+	for _, m := range b.bumps {
+		if c.machines[m.name] == m {
+			c.machineRecorded(m.name, m.rec, rev, now)
+		}
+	}
+	for _, j := range b.finals {
+		c.log.Info("job done", "job", j.spec.ID, "after", now.Sub(j.received))
+		c.setFinal(j.spec.ID, protocol.StatusDone)
+	}
+	for _, bc := range b.chunks {
+		c.dropIfOver(bc.job)
+	}
+}
+
+func (c *Controller) notCommitted(p *part, b *batch, err error) {
+	var conflict *bookkeeping.Conflict
+	unknown := errors.Is(err, bookkeeping.ErrUnknown)
+	for _, bc := range b.chunks {
+		bc.chunk.ended = append(bc.ended, bc.chunk.ended...)
+		bc.chunk.dirty = true
+		bc.chunk.unsure = bc.chunk.unsure || unknown
+	}
+	if unknown {
+		c.log.Info("commit unanswered", "part", p.index, "reason", err)
+		for _, m := range b.bumps {
+			// The watch or the next report shows whether it was applied.
+			m.wantBump = true
+		}
+		return
+	}
+	if !errors.As(err, &conflict) {
+		c.log.Debug("commit refused", "part", p.index, "reason", err)
+		return
+	}
+	for _, key := range conflict.Failed {
+		switch kind, id := bookkeeping.ParseKey(key); kind {
+		case bookkeeping.KindClaim:
+			if b.txn.If[0].Version == p.version {
+				c.lose(p, "a commit found the claim gone")
+			}
+		case bookkeeping.KindFinal:
+			c.duty.Go(func() { c.readFinal(id) })
+		case bookkeeping.KindMachine:
+			// The watch brings the newer record.
+		default:
+			for _, bc := range b.chunks {
+				if bookkeeping.RunKey(p.index, bc.job.spec.ID, bc.chunk.index) == key {
+					bc.chunk.unsure = true
+				}
+			}
+		}
+	}
+}
+
+// readFinal reads how a job ended, when a commit found that it has.
+func (c *Controller) readFinal(id string) {
+	item, err := c.store.Get(c.ctx, bookkeeping.FinalKey(id))
+	if err != nil {
+		return
+	}
+	c.do(func() { c.applyFinalRecord(id, item.Value) })
+}
+
+// inOrder lists a part's jobs in the order in which they are served: urgency,
+// then deadline, then age.
+func (c *Controller) inOrder(p *part) []*job {
+	var list []*job
+	for _, j := range c.jobs {
+		if j.part == p.index && j.owned {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *job) int {
+		if a.spec.Urgency != b.spec.Urgency {
+			return int(b.spec.Urgency) - int(a.spec.Urgency)
+		}
+		if d := a.due().Compare(b.due()); d != 0 {
+			return d
+		}
+		return strings.Compare(a.spec.ID, b.spec.ID)
+	})
+	return list
+}
+
+// due is when a job should be done; one without a deadline queues as if it
+// had a long one.
+func (j *job) due() time.Time {
+	if j.spec.DeadlineS > 0 {
+		return j.received.Add(time.Duration(j.spec.DeadlineS * float64(time.Second)))
+	}
+	return j.received.Add(time.Hour)
+}
+
+// withinLimit says whether one more task keeps the team within its limit.
+func (c *Controller) withinLimit(p *part, j *job) bool {
+	t := c.set.Params.Teams[j.team]
+	u := p.usage[j.team]
+	return (t.CPUsMax <= 0 || u.cpus+j.spec.CPUs <= t.CPUsMax+epsilon) &&
+		(t.GPUsMax <= 0 || u.gpus+j.spec.GPUs <= t.GPUsMax+epsilon)
+}
+
+// zonesOpen says in which zones another task of the job may start, given where
+// its other tasks are.
+func (c *Controller) zoneOpen(j *job, zone string) bool {
+	s := j.spec
+	if s.Zone != "" && s.Zone != zone {
+		return false
+	}
+	if !s.OneZone && !s.Spread {
+		return true
+	}
+	in := 0
+	for _, a := range j.live {
+		if a.machine.rec.Zone == zone {
+			in++
+		} else if s.OneZone {
+			return false
+		}
+	}
+	return !s.Spread || in < zoneCeiling(s.Tasks)
+}
+
+// place gives waiting tasks to machines by least contention.
+func (c *Controller) place(p *part, now time.Time) {
+	var free []*machine
+	for _, m := range c.machines {
+		if m.rec.Part == p.index && c.usable(m, now) {
+			free = append(free, m)
+		}
+	}
+	if len(free) == 0 {
+		return
+	}
+	for _, j := range c.inOrder(p) {
+		if len(j.queue) == 0 || j.withdrawn || c.finals[j.spec.ID] != "" || now.Before(j.holdTill) {
+			continue
+		}
+		placed := 0
+		for _, task := range j.queue {
+			if !c.withinLimit(p, j) {
+				break
+			}
+			m := c.choose(j, free, now)
+			if m == nil {
+				break
+			}
+			placed++
+			c.reserve(p, j, task, m, now)
+		}
+		j.queue = j.queue[placed:]
+	}
+}
+
+func (c *Controller) reserve(p *part, j *job, task int, m *machine, now time.Time) {
+	ch := j.chunk(task)
+	ch.last++
+	a := &attempt{job: j, task: task, number: ch.last, machine: m, session: m.session}
+	j.live[task] = a
+	m.attempts[attemptKey(a.wire(), a.number)] = a
+	p.usage[j.team].add(j.spec, 1)
+	m.resources()
+	m.idleSince = now
+	j.touch(task, true, now)
+}
+
+// choose picks the machine of least contention among those that fit. The order
+// of the candidates breaks ties: an image at hand first, then the fuller one,
+// so that idle machines can be returned.
+func (c *Controller) choose(j *job, machines []*machine, now time.Time) *machine {
+	var fit []*machine
+	for _, m := range machines {
+		if m.fits(j.spec) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
+			!j.failedOn[m.name] {
+			fit = append(fit, m)
+		}
+	}
+	if len(fit) == 0 {
+		return nil
+	}
+	slices.SortFunc(fit, func(a, b *machine) int {
+		_, ai := a.images[j.spec.Image]
+		_, bi := b.images[j.spec.Image]
+		switch {
+		case ai != bi && ai:
+			return -1
+		case ai != bi:
+			return 1
+		}
+		if fa, fb := a.typ.CPUs-a.usedCPUs, b.typ.CPUs-b.usedCPUs; fa != fb {
+			if fa < fb {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.name, b.name)
+	})
+	candidates := make([]procon.Machine, len(fit))
+	for i, m := range fit {
+		candidates[i] = procon.Machine{Tasks: c.predict(m, now), Limit: c.op.LimitShare * m.typ.CPUs}
+	}
+	i := c.horizon().Choose(candidates, c.prediction(j.spec, 0))
+	return fit[i]
+}
+
+func (c *Controller) horizon() procon.Horizon {
+	return procon.Horizon{MaxS: 3600, OverdueS: c.reportS.Seconds()}
+}
+
+// predict lists a machine's running tasks as placement sees them.
+func (c *Controller) predict(m *machine, now time.Time) []procon.Task {
+	var tasks []procon.Task
+	for _, a := range m.attempts {
+		if a.live() {
+			elapsed := 0.0
+			if !a.startedAt.IsZero() {
+				elapsed = now.Sub(a.startedAt).Seconds()
+			}
+			tasks = append(tasks, c.prediction(a.job.spec, elapsed))
+		}
+	}
+	return tasks
+}
+
+func (c *Controller) prediction(s *protocol.JobSpec, elapsed float64) procon.Task {
+	return procon.Task{ElapsedS: elapsed, EstimateS: c.estimate(s), Use: s.CPUs, Service: s.Standing}
+}
+
+// remaining predicts how long an attempt still runs.
+func (c *Controller) remaining(a *attempt, now time.Time) float64 {
+	if a.job.spec.Standing {
+		return c.horizon().MaxS
+	}
+	elapsed := 0.0
+	if !a.startedAt.IsZero() {
+		elapsed = now.Sub(a.startedAt).Seconds()
+	}
+	return max(c.estimate(a.job.spec)-elapsed, c.reportS.Seconds())
+}
+
+// classBias is how run times of a class compare with their estimates.
+type classBias struct {
+	ratio float64
+	count int
+}
+
+// learn takes in a completed task. The ratio follows slowly, since single
+// estimates are often wrong by half.
+func (c *Controller) learn(class string, ran, estimate float64) {
+	if estimate <= 0 || ran <= 0 {
+		return
+	}
+	b := c.bias[class]
+	if b == nil {
+		if len(c.bias) > 1000 {
+			return
+		}
+		b = &classBias{ratio: 1}
+		c.bias[class] = b
+	}
+	b.count++
+	weight := max(0.02, 1/float64(b.count+5))
+	b.ratio += weight * (min(4, max(0.25, ran/estimate)) - b.ratio)
+}
+
+// estimate is the owner's estimate, corrected by what the class has shown.
+func (c *Controller) estimate(s *protocol.JobSpec) float64 {
+	if b := c.bias[s.Class]; b != nil {
+		return s.EstimateS * b.ratio
+	}
+	return s.EstimateS
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,312 @@
+package coordination
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/transport"
+)
+
+// Serve answers users, workers and health checks.
+func (c *Controller) Serve(ctx context.Context, req *transport.Request) transport.Response {
+	method := func(want string, h func() transport.Response) transport.Response {
+		if req.Method != want {
+			return refuse(405, "method not allowed", 0)
+		}
+		return h()
+	}
+	switch {
+	case req.Path == "/checkin":
+		return method("POST", func() transport.Response { return c.checkin(req) })
+	case req.Path == "/healthz":
+		return method("GET", c.healthz)
+	case req.Path == "/submissions":
+		return method("POST", func() transport.Response { return c.submit(ctx, req) })
+	}
+	rest, ok := strings.CutPrefix(req.Path, "/submissions/")
+	if !ok {
+		return refuse(404, "no such path", 0)
+	}
+	id, verb, more := strings.Cut(rest, "/")
+	switch {
+	case more && verb == "withdraw":
+		return method("POST", func() transport.Response { return c.withdraw(ctx, id) })
+	case more:
+		return refuse(404, "no such path", 0)
+	}
+	return method("GET", func() transport.Response { return c.poll(ctx, id) })
+}
+
+func (c *Controller) checkin(req *transport.Request) transport.Response {
+	r := new(protocol.Report)
+	err := protocol.Decode(req.Body, r)
+	if err == nil {
+		err = r.Check()
+	}
+	if err != nil {
+		return refuse(400, oneLine(err), 0)
+	}
+	resp := refuse(503, "stopping", 1)
+	c.do(func() { resp = c.handleReport(r) })
+	return resp
+}
+
+// healthz says whether requests can be taken. While the state service fails
+// everybody, all controllers stay in, since leaving would only delay their
+// return; one that alone can't reach it leaves the users to the others.
+func (c *Controller) healthz() transport.Response {
+	resp := refuse(503, "not ready", 1)
+	c.do(func() {
+		if !c.synced {
+			return
+		}
+		silence := c.store.Silence()
+		if silence > 2500*time.Millisecond {
+			for _, ps := range c.peers {
+				if ps.summary != nil && time.Since(ps.heard) < 2*time.Second && ps.summary.StateSilenceS < 1.5 {
+					return
+				}
+			}
+		}
+		resp = transport.Response{Status: 200, Body: protocol.Encode(map[string]any{"status": "ok"})}
+	})
+	return resp
+}
+
+func oneLine(err error) string {
+	line, _, _ := strings.Cut(err.Error(), "\n")
+	return line[:min(len(line), 200)]
+}
+
+// unavailable is the answer while the state service can't be asked.
+func unavailable(err error) transport.Response {
+	if errors.Is(err, bookkeeping.ErrRefused) && strings.Contains(err.Error(), "budget") {
+		return refuse(429, "over budget", 1)
+	}
+	return refuse(503, "state service unavailable", 1)
+}
+
+func statusResponse(code int, st protocol.JobStatus) transport.Response {
+	return transport.Response{Status: code, Body: protocol.Encode(st)}
+}
+
+// submit accepts a job once its record is committed.
+func (c *Controller) submit(ctx context.Context, req *transport.Request) transport.Response {
+	var sub protocol.Submission
+	err := protocol.Decode(req.Body, &sub)
+	var spec *protocol.JobSpec
+	if err == nil {
+		spec, err = sub.Check()
+	}
+	if err != nil && (sub.ID == nil || !protocol.ValidID(*sub.ID)) {
+		return refuse(400, oneLine(err), 0)
+	}
+	id := *sub.ID
+	// A known id is looked up before anything else is said about the body, so
+	// that a repeat of an accepted job never gets 400 or 422.
+	known, catalog := false, 0
+	refusal := ""
+	c.do(func() {
+		known = c.jobs[id] != nil || c.finals[id] != ""
+		catalog = len(c.catalog)
+		if spec != nil {
+			refusal = c.impossible(spec)
+		}
+	})
+	if known || err != nil || refusal != "" {
+		st, found, rerr := c.status(ctx, id)
+		switch {
+		case rerr != nil:
+			return unavailable(rerr)
+		case found:
+			return statusResponse(200, st)
+		case err != nil:
+			return refuse(400, oneLine(err), 0)
+		case refusal != "":
+			return refuse(422, refusal, 0)
+		}
+	}
+	if catalog == 0 {
+		return refuse(503, "machine types are not known yet", 2)
+	}
+	if c.store.Down() {
+		return refuse(503, "state service unavailable", 1)
+	}
+	spec.SubmittedMS = time.Now().UnixMilli()
+	value := bookkeeping.Encode(spec)
+	if len(value) > c.store.ValueBytes {
+		return refuse(422, "job is too large to record", 0)
+	}
+	_, err = c.store.UserCommit(ctx, &protocol.Transaction{
+		If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: 0}},
+		Then: []protocol.Change{{Put: bookkeeping.JobKey(id), Value: value}},
+	})
+	var conflict *bookkeeping.Conflict
+	switch {
+	case errors.As(err, &conflict):
+		st, found, rerr := c.status(ctx, id)
+		if rerr != nil || !found {
+			return unavailable(rerr)
+		}
+		return statusResponse(200, st)
+	case err != nil:
+		return unavailable(err)
+	}
+	c.do(func() { c.applyJobRecord(id, value) })
+	return statusResponse(201, protocol.JobStatus{ID: id, Status: protocol.StatusQueued})
+}
+
+// impossible says why a job can never run, or nothing.
+func (c *Controller) impossible(s *protocol.JobSpec) string {
+	team, ok := c.teamIndex[s.Team]
+	if !ok {
+		return "unknown team"
+	}
+	t := c.set.Params.Teams[team]
+	n := 1.0
+	if s.Standing {
+		n = float64(s.Tasks)
+	}
+	if t.CPUsMax > 0 && n*s.CPUs > t.CPUsMax+epsilon || t.GPUsMax > 0 && n*s.GPUs > t.GPUsMax+epsilon {
+		return "more than the team's limit"
+	}
+	if len(c.catalog) == 0 {
+		return ""
+	}
+	for i := range c.catalog {
+		if typeFits(s, &c.catalog[i]) {
+			return ""
+		}
+	}
+	return "a task fits no allowed machine type"
+}
+
+// status reads a job's state. Final states come from memory; anything else is
+// read through, since another controller may have told the user more.
+func (c *Controller) status(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
+	st := protocol.JobStatus{ID: id}
+	known := false
+	c.do(func() { known = c.describe(&st) })
+	if st.Status == protocol.StatusDone || st.Status == protocol.StatusWithdrawn {
+		return st, true, nil
+	}
+	if c.store.Down() {
+		return st, false, bookkeeping.ErrRefused
+	}
+	if known {
+		item, err := c.store.UserGet(ctx, bookkeeping.FinalKey(id))
+		if errors.Is(err, bookkeeping.ErrNotFound) {
+			return st, true, nil
+		}
+		if err != nil {
+			return st, false, err
+		}
+		c.do(func() {
+			c.applyFinalRecord(id, item.Value)
+			c.describe(&st)
+		})
+		return st, true, nil
+	}
+	list, err := c.store.UserList(ctx, bookkeeping.JobPrefix(id))
+	if err != nil {
+		return st, false, err
+	}
+	if len(list.Items) == 0 {
+		return st, false, nil
+	}
+	c.do(func() {
+		for _, it := range list.Items {
+			if it.Key == bookkeeping.FinalKey(id) {
+				c.applyFinalRecord(id, it.Value)
+			}
+		}
+		for _, it := range list.Items {
+			if it.Key == bookkeeping.JobKey(id) {
+				c.applyJobRecord(id, it.Value)
+			}
+		}
+		known = c.describe(&st)
+	})
+	return st, known, nil
+}
+
+// describe fills in what memory knows of a job.
+func (c *Controller) describe(st *protocol.JobStatus) bool {
+	if f := c.finals[st.ID]; f != "" {
+		st.Status = f
+		return true
+	}
+	j := c.jobs[st.ID]
+	if j == nil {
+		return false
+	}
+	st.Done, st.Running = j.doneCount, j.running
+	if !j.owned {
+		for _, ps := range c.peers {
+			if ps.summary == nil {
+				continue
+			}
+			for _, jp := range ps.summary.Jobs {
+				if jp.Id == st.ID {
+					st.Done, st.Running = int(jp.Done), int(jp.Running)
+				}
+			}
+		}
+	}
+	st.Status = protocol.StatusQueued
+	if st.Running > 0 {
+		st.Status = protocol.StatusRunning
+	}
+	return true
+}
+
+func (c *Controller) poll(ctx context.Context, id string) transport.Response {
+	if !protocol.ValidID(id) {
+		return refuse(404, "no such job", 0)
+	}
+	st, found, err := c.status(ctx, id)
+	switch {
+	case err != nil:
+		return unavailable(err)
+	case !found:
+		return refuse(404, "no such job", 0)
+	}
+	return statusResponse(200, st)
+}
+
+// withdraw cancels a job, unless it is done already.
+func (c *Controller) withdraw(ctx context.Context, id string) transport.Response {
+	if !protocol.ValidID(id) {
+		return refuse(404, "no such job", 0)
+	}
+	for range 2 {
+		st, found, err := c.status(ctx, id)
+		switch {
+		case err != nil:
+			return unavailable(err)
+		case !found:
+			return refuse(404, "no such job", 0)
+		case st.Status == protocol.StatusDone || st.Status == protocol.StatusWithdrawn:
+			return statusResponse(200, protocol.JobStatus{ID: id, Status: st.Status})
+		}
+		key := bookkeeping.FinalKey(id)
+		value := bookkeeping.Encode(bookkeeping.Final{Status: protocol.StatusWithdrawn, AtMS: time.Now().UnixMilli()})
+		_, err = c.store.UserCommit(ctx, &protocol.Transaction{
+			If:   []protocol.Condition{{Key: key, Version: 0}},
+			Then: []protocol.Change{{Put: key, Value: value}},
+		})
+		var conflict *bookkeeping.Conflict
+		switch {
+		case err == nil:
+			c.do(func() { c.applyFinalRecord(id, value) })
+			return statusResponse(200, protocol.JobStatus{ID: id, Status: protocol.StatusWithdrawn})
+		case !errors.As(err, &conflict):
+			return unavailable(err)
+		}
+	}
+	return refuse(503, "job is changing", 1)
+}
--- /dev/null
+++ b/internal/protocol/wire.go
@@ -0,0 +1,430 @@
+package protocol
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Submission is the body of POST /submissions.
+type Submission struct {
+	ID          *string  `msgpack:"name_id"`
+	Class       *string  `msgpack:"jobclass"`
+	Team        *string  `msgpack:"owner"`
+	Shape       *string  `msgpack:"shape"`
+	Urgency     *string  `msgpack:"urgency"`
+	Tasks       *int64   `msgpack:"pieces"`
+	CPUs        *float64 `msgpack:"vcpus"`
+	GPUs        *float64 `msgpack:"gpus"`
+	MemGB       *float64 `msgpack:"mem_gb"`
+	Image       *string  `msgpack:"bundle"`
+	ImageGB     *float64 `msgpack:"image_gb"`
+	Types       []string `msgpack:"shapes_of_box"`
+	Zone        *string  `msgpack:"locale"`
+	OneZone     *bool    `msgpack:"same_place"`
+	Spread      *bool    `msgpack:"apart"`
+	Spot        *bool    `msgpack:"loaners"`
+	EstimateS   *float64 `msgpack:"guess_s"`
+	CheckpointS *float64 `msgpack:"snapshot_every_s"`
+	SaveS       *float64 `msgpack:"snapshot_s"`
+	DeadlineS   *float64 `msgpack:"due_s"`
+}
+
+// Urgency orders jobs; higher goes first.
+type Urgency int
+
+// The urgencies of the protocol.
+const (
+	Low Urgency = iota
+	Standard
+	High
+	Production
+)
+
+var urgencies = map[string]Urgency{"low": Low, "standard": Standard, "high": High, "production": Production}
+
+// JobSpec is a checked submission; it is also what the job's record holds.
+type JobSpec struct {
+	ID          string   `msgpack:"id"`
+	Class       string   `msgpack:"cl"`
+	Team        string   `msgpack:"tm"`
+	Standing    bool     `msgpack:"st,omitempty"`
+	Urgency     Urgency  `msgpack:"ur"`
+	Tasks       int      `msgpack:"n"`
+	CPUs        float64  `msgpack:"c"`
+	GPUs        float64  `msgpack:"g,omitempty"`
+	MemGB       float64  `msgpack:"m"`
+	Image       string   `msgpack:"im,omitempty"`
+	ImageGB     float64  `msgpack:"ig,omitempty"`
+	Types       []string `msgpack:"ty,omitempty"`
+	Zone        string   `msgpack:"z,omitempty"`
+	OneZone     bool     `msgpack:"oz,omitempty"`
+	Spread      bool     `msgpack:"sp,omitempty"`
+	Spot        bool     `msgpack:"so,omitempty"`
+	EstimateS   float64  `msgpack:"e,omitempty"`
+	CheckpointS float64  `msgpack:"ck,omitempty"`
+	SaveS       float64  `msgpack:"sv,omitempty"`
+	DeadlineS   float64  `msgpack:"d,omitempty"`
+	// SubmittedMS is the wall clock at acceptance.
+	SubmittedMS int64 `msgpack:"at"`
+}
+
+const (
+	maxTasks  = 100_000
+	maxAmount = 1e6
+	maxText   = 200
+)
+
+// ValidID says whether id has the form of a job id.
+func ValidID(id string) bool {
+	digits, ok := strings.CutPrefix(id, "job-")
+	if !ok || digits == "" || len(digits) > 32 {
+		return false
+	}
+	for _, c := range digits {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// Check turns a submission into a job, or says in one line what is wrong.
+func (s *Submission) Check() (*JobSpec, error) {
+	text := func(name string, p *string, optional bool) (string, error) {
+		switch {
+		case p == nil && optional:
+			return "", nil
+		case p == nil:
+			return "", fmt.Errorf("%w: %s is missing", ErrMalformed, name)
+		case len(*p) > maxText || *p == "" && !optional:
+			return "", fmt.Errorf("%w: %s is invalid", ErrMalformed, name)
+		}
+		return *p, nil
+	}
+	amount := func(name string, p *float64, optional bool) (float64, error) {
+		switch {
+		case p == nil && optional:
+			return 0, nil
+		case p == nil:
+			return 0, fmt.Errorf("%w: %s is missing", ErrMalformed, name)
+		case !finite(*p) || *p < 0 || *p > maxAmount:
+			return 0, fmt.Errorf("%w: %s is out of range", ErrMalformed, name)
+		}
+		return *p, nil
+	}
+	flag := func(p *bool) bool { return p != nil && *p }
+
+	var j JobSpec
+	var err error
+	for _, f := range []struct {
+		name     string
+		from     *string
+		to       *string
+		optional bool
+	}{
+		{"name_id", s.ID, &j.ID, false}, {"jobclass", s.Class, &j.Class, false}, {"owner", s.Team, &j.Team, false},
+		{"bundle", s.Image, &j.Image, true}, {"locale", s.Zone, &j.Zone, true},
+	} {
+		if *f.to, err = text(f.name, f.from, f.optional); err != nil {
+			return nil, err
+		}
+	}
+	if !ValidID(j.ID) {
+		return nil, fmt.Errorf("%w: name_id is invalid", ErrMalformed)
+	}
+	for _, f := range []struct {
+		name     string
+		from     *float64
+		to       *float64
+		optional bool
+	}{
+		{"vcpus", s.CPUs, &j.CPUs, false}, {"gpus", s.GPUs, &j.GPUs, true}, {"mem_gb", s.MemGB, &j.MemGB, false},
+		{"image_gb", s.ImageGB, &j.ImageGB, true}, {"guess_s", s.EstimateS, &j.EstimateS, true},
+		{"snapshot_every_s", s.CheckpointS, &j.CheckpointS, true}, {"snapshot_s", s.SaveS, &j.SaveS, true},
+		{"due_s", s.DeadlineS, &j.DeadlineS, true},
+	} {
+		if *f.to, err = amount(f.name, f.from, f.optional); err != nil {
+			return nil, err
+		}
+	}
+	switch {
+	case s.Shape == nil:
+		return nil, fmt.Errorf("%w: shape is missing", ErrMalformed)
+	case *s.Shape == "standing":
+		j.Standing = true
+	case *s.Shape != "batch":
+		return nil, fmt.Errorf("%w: shape is invalid", ErrMalformed)
+	}
+	if s.Urgency == nil {
+		return nil, fmt.Errorf("%w: urgency is missing", ErrMalformed)
+	}
+	var ok bool
+	if j.Urgency, ok = urgencies[*s.Urgency]; !ok {
+		return nil, fmt.Errorf("%w: urgency is invalid", ErrMalformed)
+	}
+	switch {
+	case s.Tasks == nil:
+		return nil, fmt.Errorf("%w: pieces is missing", ErrMalformed)
+	case *s.Tasks < 1 || *s.Tasks > maxTasks:
+		return nil, fmt.Errorf("%w: pieces is out of range", ErrMalformed)
+	}
+	j.Tasks = int(*s.Tasks)
+	if len(s.Types) > 64 {
+		return nil, fmt.Errorf("%w: shapes_of_box is too long", ErrMalformed)
+	}
+	for _, t := range s.Types {
+		if t == "" || len(t) > maxText {
+			return nil, fmt.Errorf("%w: shapes_of_box is invalid", ErrMalformed)
+		}
+	}
+	j.Types = s.Types
+	j.OneZone, j.Spread, j.Spot = flag(s.OneZone), flag(s.Spread), flag(s.Spot)
+	return &j, nil
+}
+
+// JobStatus is what users are told about a job.
+type JobStatus struct {
+	ID      string `msgpack:"name_id"`
+	Status  string `msgpack:"status"`
+	Done    int    `msgpack:"done"`
+	Running int    `msgpack:"running"`
+}
+
+// The states of a job as users see them.
+const (
+	StatusQueued    = "queued"
+	StatusRunning   = "running"
+	StatusDone      = "done"
+	StatusWithdrawn = "withdrawn"
+)
+
+// Problem is the body of an answer that refuses.
+type Problem struct {
+	Error string `msgpack:"error"`
+}
+
+// TaskName names a task on the wire.
+func TaskName(job string, index int) string { return job + "/" + strconv.Itoa(index) }
+
+// ParseTask splits a task's wire name.
+func ParseTask(name string) (job string, index int, ok bool) {
+	job, num, ok := strings.Cut(name, "/")
+	if !ok {
+		return "", 0, false
+	}
+	index, err := strconv.Atoi(num)
+	return job, index, err == nil && index >= 0 && index < maxTasks
+}
+
+// Report is what a worker says of itself: the body of POST /checkin and of the
+// answers of /orders and /show.
+type Report struct {
+	Machine  string       `msgpack:"host"`
+	Addr     string       `msgpack:"endpoint"`
+	Type     string       `msgpack:"box"`
+	Zone     string       `msgpack:"locale"`
+	Spot     bool         `msgpack:"loaners"`
+	Session  uint64       `msgpack:"tenure"`
+	Sequence uint64       `msgpack:"tick"`
+	Token    uint64       `msgpack:"mandate"`
+	NoticeS  *float64     `msgpack:"warning_s"`
+	Tasks    []TaskReport `msgpack:"pieces"`
+}
+
+// TaskReport is one task in a report.
+type TaskReport struct {
+	Task    string `msgpack:"piece"`
+	Attempt uint64 `msgpack:"try"`
+	State   string `msgpack:"status"`
+	Cause   string `msgpack:"cause"`
+	Saved   bool   `msgpack:"kept"`
+}
+
+// The states of a task and the causes of its end.
+const (
+	TaskFetching = "fetching"
+	TaskRunning  = "running"
+	TaskSaving   = "flushing"
+	TaskEnded    = "ended"
+
+	CauseDone    = "done"
+	CauseStopped = "stopped"
+	CauseError   = "error"
+	CauseFull    = "full"
+	CauseInUse   = "in_use"
+	CauseUnknown = "unknown"
+)
+
+// Check says what is wrong with a report.
+func (r *Report) Check() error {
+	switch {
+	case r.Machine == "" || len(r.Machine) > maxText || strings.ContainsAny(r.Machine, " /"):
+		return fmt.Errorf("%w: host is invalid", ErrMalformed)
+	case r.Session == 0:
+		return fmt.Errorf("%w: tenure is missing", ErrMalformed)
+	case r.NoticeS != nil && !finite(*r.NoticeS):
+		return fmt.Errorf("%w: warning_s is invalid", ErrMalformed)
+	}
+	return nil
+}
+
+// Command is one command to a worker.
+type Command struct {
+	Op      string  `msgpack:"verb"`
+	Task    string  `msgpack:"piece"`
+	Attempt uint64  `msgpack:"try"`
+	GraceS  float64 `msgpack:"wind_down_s"`
+}
+
+// EncodeMsgpack leaves the grace out of commands other than stops.
+func (c *Command) EncodeMsgpack(enc *msgpack.Encoder) error {
+	m := map[string]any{"verb": c.Op, "piece": c.Task, "try": c.Attempt}
+	if c.Op == OpStop {
+		m["wind_down_s"] = c.GraceS
+	}
+	return enc.EncodeMap(m)
+}
+
+// The commands that workers know.
+const (
+	OpStart  = "start"
+	OpStop   = "stop"
+	OpForget = "reap"
+)
+
+// Orders carries commands to a worker: an answer to its report (without a
+// session) or the body of POST /orders.
+type Orders struct {
+	Token    uint64    `msgpack:"mandate"`
+	Session  uint64    `msgpack:"tenure,omitempty"`
+	Commands []Command `msgpack:"orders"`
+}
+
+// Home tells a worker which controller answers its reports.
+type Home struct {
+	Home string `msgpack:"home,omitempty"`
+}
+
+// Catalog is the answer of the cloud's GET /catalog.
+type Catalog struct {
+	Types []MachineType `msgpack:"shapes_of_box"`
+}
+
+// MachineType is a kind of machine that the cloud rents.
+type MachineType struct {
+	Name         string   `msgpack:"label"`
+	CPUs         float64  `msgpack:"vcpus"`
+	GPUs         float64  `msgpack:"gpus"`
+	MemGB        float64  `msgpack:"mem_gb"`
+	CacheGB      float64  `msgpack:"cache_gb"`
+	FetchGBPerS  float64  `msgpack:"pull_gb_per_s"`
+	Price        float64  `msgpack:"price"`
+	SpotPrice    float64  `msgpack:"spot_price"`
+	BootS        float64  `msgpack:"startup_s"`
+	ZonesOffered []string `msgpack:"locales"`
+}
+
+// Rental is the body of the cloud's POST /machines.
+type Rental struct {
+	Request string `msgpack:"rental"`
+	Type    string `msgpack:"box"`
+	Zone    string `msgpack:"locale"`
+	Spot    bool   `msgpack:"loaners"`
+	Count   int    `msgpack:"count"`
+}
+
+// MachineNames is the answer to a rental and the body of a deletion.
+type MachineNames struct {
+	Machines []string `msgpack:"hosts"`
+}
+
+// MachineList is the answer of the cloud's GET /machines.
+type MachineList struct {
+	Machines []ListedMachine `msgpack:"hosts"`
+	More     bool            `msgpack:"more"`
+}
+
+// ListedMachine is one machine in the cloud's list.
+type ListedMachine struct {
+	Name  string  `msgpack:"name_id"`
+	Addr  string  `msgpack:"endpoint"`
+	Type  string  `msgpack:"box"`
+	Zone  string  `msgpack:"locale"`
+	Spot  bool    `msgpack:"loaners"`
+	State string  `msgpack:"status"`
+	AgeS  float64 `msgpack:"held_s"`
+}
+
+// The states of a listed machine.
+const (
+	MachineStarting = "starting"
+	MachineFailed   = "failed"
+)
+
+// Item is a key of the state service with its value.
+type Item struct {
+	Key     string             `msgpack:"key"`
+	Value   msgpack.RawMessage `msgpack:"v"`
+	Version uint64             `msgpack:"stamp"`
+	Lease   uint64             `msgpack:"hold"`
+}
+
+// ItemList is the answer to a listing.
+type ItemList struct {
+	Items    []Item `msgpack:"pairs"`
+	More     bool   `msgpack:"more"`
+	Revision uint64 `msgpack:"epoch"`
+}
+
+// Condition demands a key's version; 0 means that the key does not exist.
+type Condition struct {
+	Key     string `msgpack:"key"`
+	Version uint64 `msgpack:"stamp"`
+}
+
+// Change puts or deletes a key.
+type Change struct {
+	Put    string             `msgpack:"put,omitempty"`
+	Value  msgpack.RawMessage `msgpack:"v,omitempty"`
+	Lease  uint64             `msgpack:"hold,omitempty"`
+	Delete string             `msgpack:"drop,omitempty"`
+}
+
+// Transaction is the body of POST /commit.
+type Transaction struct {
+	If   []Condition `msgpack:"when"`
+	Then []Change    `msgpack:"apply"`
+}
+
+// TransactionResult is the answer to a transaction.
+type TransactionResult struct {
+	Revision uint64   `msgpack:"epoch"`
+	Failed   []string `msgpack:"failed"`
+}
+
+// LeaseRequest is the body of POST /grants.
+type LeaseRequest struct {
+	TTLMS int64 `msgpack:"ttl_ms"`
+}
+
+// Lease is the answer to a lease request.
+type Lease struct {
+	ID uint64 `msgpack:"hold"`
+}
+
+// Event is one change in a watch.
+type Event struct {
+	Put     string             `msgpack:"put"`
+	Value   msgpack.RawMessage `msgpack:"v"`
+	Delete  string             `msgpack:"drop"`
+	Version uint64             `msgpack:"stamp"`
+}
+
+// Events is the answer to a watch.
+type Events struct {
+	Revision uint64  `msgpack:"epoch"`
+	Events   []Event `msgpack:"news"`
+}
--- /dev/null
+++ b/internal/transport/client.go
@@ -0,0 +1,134 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+)
+
+// ErrNotSent marks a request of which no byte left this process, so that it
+// cannot be executed late.
+var ErrNotSent = errors.New("transport: request not sent")
+
+const (
+	dialTimeout = time.Second
+	idlePerHost = 4
+	idleFor     = 20 * time.Second
+)
+
+// Client sends requests over pooled connections.
+type Client struct {
+	engine *Engine
+
+	mu   sync.Mutex
+	idle map[string][]idleStream
+}
+
+type idleStream struct {
+	s     *stream
+	since time.Time
+}
+
+// NewClient makes a client; it can send once an engine is attached.
+func NewClient() *Client { return &Client{idle: map[string][]idleStream{}} }
+
+// Attach lets the client use the engine's event loop.
+func (c *Client) Attach(e *Engine) { c.engine = e }
+
+// Do sends one request and waits for its response until ctx ends. An error
+// that wraps ErrNotSent proves that the peer will never execute the request.
+func (c *Client) Do(ctx context.Context, addr, method, target string, body []byte) (*Response, error) {
+	s := c.pooled(addr)
+	if s == nil {
+		var err error
+		if s, err = c.engine.dial(ctx, addr, dialTimeout); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
+	if err := s.write(appendRequest(make([]byte, 0, 256+len(body)), method, target, addr, body)); err != nil {
+		s.close()
+		return nil, err
+	}
+	resp, err := readResponse(ctx, s)
+	if err != nil {
+		s.close()
+		return nil, fmt.Errorf("transport: %s %s%s: %w", method, addr, target, err)
+	}
+	if resp.Close {
+		s.close()
+	} else {
+		c.keep(addr, s)
+	}
+	return resp, nil
+}
+
+func readResponse(ctx context.Context, s *stream) (*Response, error) {
+	timer := time.NewTimer(2 * time.Minute)
+	defer timer.Stop()
+	for {
+		var resp *Response
+		err := s.take(func(buf []byte) (n int, err error) {
+			resp, n, err = ParseResponse(buf, clientBuffer)
+			return n, err
+		})
+		if err == nil {
+			return resp, nil
+		}
+		if !errors.Is(err, ErrIncomplete) {
+			return nil, err
+		}
+		if err := s.wait(ctx, timer); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (c *Client) pooled(addr string) *stream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[addr]
+	for len(list) > 0 {
+		last := list[len(list)-1]
+		list = list[:len(list)-1]
+		c.idle[addr] = list
+		if time.Since(last.since) < idleFor && !last.s.dead() && last.s.pending() == 0 {
+			return last.s
+		}
+		last.s.close()
+	}
+	return nil
+}
+
+func (c *Client) keep(addr string, s *stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[addr]) >= idlePerHost {
+		s.close()
+		return
+	}
+	c.idle[addr] = append(c.idle[addr], idleStream{s: s, since: time.Now()})
+}
+
+// Sweep closes connections that nobody has used for a while; hosts come and
+// go, and their sockets must not stay.
+func (c *Client) Sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, list := range c.idle {
+		kept := list[:0]
+		for _, e := range list {
+			if time.Since(e.since) < idleFor && !e.s.dead() {
+				kept = append(kept, e)
+			} else {
+				e.s.close()
+			}
+		}
+		if len(kept) == 0 {
+			delete(c.idle, addr)
+		} else {
+			c.idle[addr] = kept
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/engine.go
@@ -0,0 +1,281 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/panjf2000/gnet/v2"
+)
+
+// Errors of a connection.
+var (
+	ErrClosed  = errors.New("transport: connection closed")
+	ErrTimeout = errors.New("transport: timed out")
+	errFlooded = errors.New("transport: peer sent more than a message may hold")
+)
+
+const (
+	serverBuffer = 96 << 10
+	clientBuffer = 8 << 20
+)
+
+// Handler answers the requests of one listening address.
+type Handler func(ctx context.Context, req *Request) Response
+
+// Listener is an address and what answers there.
+type Listener struct {
+	Addr    string
+	Handler Handler
+	// MaxConns bounds the open connections; more are closed on arrival, so
+	// that a flood of users leaves sockets for workers and the state service.
+	MaxConns int
+	MaxBody  int
+	open     atomic.Int64
+}
+
+// Engine is one gnet event loop that carries every connection of the process.
+type Engine struct {
+	gnet.BuiltinEventEngine
+	listeners map[string]*Listener
+	eng       gnet.Engine
+	booted    chan struct{}
+	ctx       context.Context
+	conns     sync.WaitGroup
+}
+
+// Run serves the listeners until ctx ends. ready receives the engine once
+// connections can be made.
+func Run(ctx context.Context, listeners []*Listener, ready func(*Engine)) error {
+	e := &Engine{listeners: map[string]*Listener{}, booted: make(chan struct{}), ctx: ctx}
+	var addrs []string
+	for _, l := range listeners {
+		_, port, err := net.SplitHostPort(l.Addr)
+		if err != nil {
+			return fmt.Errorf("transport: listen on %q: %w", l.Addr, err)
+		}
+		e.listeners[port] = l
+		addrs = append(addrs, "tcp4://"+l.Addr)
+	}
+	failed := make(chan error, 1)
+	go func() {
+		failed <- gnet.Rotate(e, addrs,
+			gnet.WithNumEventLoop(1),
+			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+			gnet.WithReuseAddr(true),
+			gnet.WithReadBufferCap(16<<10),
+			gnet.WithWriteBufferCap(16<<10),
+			gnet.WithLogger(engineLog{}))
+	}()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("transport: start: %w", err)
+	case <-e.booted:
+	}
+	ready(e)
+	select {
+	case err := <-failed:
+		return fmt.Errorf("transport: engine ended: %w", err)
+	case <-ctx.Done():
+	}
+	stop, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := e.eng.Stop(stop); err != nil {
+		return fmt.Errorf("transport: stop: %w", err)
+	}
+	e.conns.Wait()
+	return nil
+}
+
+// engineLog passes gnet's own messages on to the process's log.
+type engineLog struct{}
+
+func (engineLog) Debugf(format string, args ...any) {
+	slog.Debug(fmt.Sprintf("gnet: "+format, args...))
+}
+func (engineLog) Infof(format string, args ...any) { slog.Debug(fmt.Sprintf("gnet: "+format, args...)) }
+func (engineLog) Warnf(format string, args ...any) { slog.Debug(fmt.Sprintf("gnet: "+format, args...)) }
+func (engineLog) Errorf(format string, args ...any) {
+	slog.Debug(fmt.Sprintf("gnet: "+format, args...))
+}
+func (engineLog) Fatalf(format string, args ...any) {
+	slog.Error(fmt.Sprintf("gnet: "+format, args...))
+}
+
+// OnBoot tells that the engine listens.
+func (e *Engine) OnBoot(eng gnet.Engine) gnet.Action {
+	e.eng = eng
+	close(e.booted)
+	return gnet.None
+}
+
+// OnOpen starts the goroutine of an accepted connection; one that the client
+// dialled brings its stream along.
+func (e *Engine) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
+	if s, ok := raw.Context().(*stream); ok {
+		s.raw = raw
+		return nil, gnet.None
+	}
+	_, port, _ := net.SplitHostPort(raw.LocalAddr().String())
+	l := e.listeners[port]
+	if l == nil || e.ctx.Err() != nil {
+		return nil, gnet.Close
+	}
+	if l.open.Add(1) > int64(l.MaxConns) {
+		l.open.Add(-1)
+		slog.Debug("connection refused", "reason", "too many connections", "addr", l.Addr)
+		return nil, gnet.Close
+	}
+	s := newStream(l.MaxBody + MaxHead + serverBuffer)
+	s.raw = raw
+	raw.SetContext(s)
+	e.conns.Go(func() {
+		defer l.open.Add(-1)
+		serve(e.ctx, s, l)
+	})
+	return nil, gnet.None
+}
+
+// OnTraffic hands the bytes that came to the connection's goroutine.
+func (e *Engine) OnTraffic(raw gnet.Conn) gnet.Action {
+	buf, err := raw.Next(-1)
+	s, ok := raw.Context().(*stream)
+	if err != nil || !ok || !s.feed(buf) {
+		return gnet.Close
+	}
+	return gnet.None
+}
+
+// OnClose wakes the connection's goroutine for the last time.
+func (e *Engine) OnClose(raw gnet.Conn, err error) gnet.Action {
+	if s, ok := raw.Context().(*stream); ok {
+		if err == nil {
+			err = ErrClosed
+		}
+		s.fail(err)
+	}
+	return gnet.None
+}
+
+// dial connects off the event loop, since gnet's own dial blocks it, and then
+// enrols the connection.
+func (e *Engine) dial(ctx context.Context, addr string, timeout time.Duration) (*stream, error) {
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp4", addr)
+	if err != nil {
+		return nil, fmt.Errorf("transport: dial %s: %w", addr, err)
+	}
+	s := newStream(clientBuffer)
+	regCtx := gnet.NewContext(gnet.NewNetConnContext(ctx, nc), s)
+	done, err := e.eng.Register(regCtx)
+	if err != nil {
+		_ = nc.Close()
+		return nil, fmt.Errorf("transport: enrol %s: %w", addr, err)
+	}
+	res := <-done
+	if res.Err != nil {
+		return nil, fmt.Errorf("transport: enrol %s: %w", addr, res.Err)
+	}
+	return s, nil
+}
+
+// stream is the byte stream of one connection. The event loop feeds it; one
+// goroutine reads it.
+type stream struct {
+	raw   gnet.Conn
+	limit int
+	wake  chan struct{}
+
+	mu  sync.Mutex
+	buf []byte
+	err error
+}
+
+func newStream(limit int) *stream {
+	return &stream{limit: limit, wake: make(chan struct{}, 1)}
+}
+
+func (s *stream) feed(b []byte) bool {
+	s.mu.Lock()
+	ok := len(s.buf)+len(b) <= s.limit
+	if ok {
+		s.buf = append(s.buf, b...)
+	} else if s.err == nil {
+		s.err = errFlooded
+	}
+	s.mu.Unlock()
+	s.signal()
+	return ok
+}
+
+func (s *stream) fail(err error) {
+	s.mu.Lock()
+	if s.err == nil {
+		s.err = err
+	}
+	s.mu.Unlock()
+	s.signal()
+}
+
+func (s *stream) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take runs parse on what has arrived and drops the bytes it used.
+func (s *stream) take(parse func([]byte) (int, error)) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, err := parse(s.buf)
+	if err == nil {
+		s.buf = s.buf[:copy(s.buf, s.buf[n:])]
+		if len(s.buf) == 0 && cap(s.buf) > 8<<10 {
+			s.buf = nil
+		}
+		return nil
+	}
+	if errors.Is(err, ErrIncomplete) && s.err != nil {
+		return s.err
+	}
+	return err
+}
+
+func (s *stream) pending() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.buf)
+}
+
+func (s *stream) dead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.err != nil
+}
+
+// wait blocks until something arrived, the time is over or ctx ends.
+func (s *stream) wait(ctx context.Context, timer *time.Timer) error {
+	select {
+	case <-s.wake:
+		return nil
+	case <-timer.C:
+		return ErrTimeout
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *stream) write(b []byte) error {
+	if err := s.raw.AsyncWrite(b, nil); err != nil {
+		return fmt.Errorf("transport: write: %w", err)
+	}
+	return nil
+}
+
+func (s *stream) close() { _ = s.raw.Close() }
