--- a/internal/coordination/procon/procon.go
+++ b/internal/coordination/procon/procon.go
@@ -8,6 +8,9 @@
 // full is MAX, the progress of a task that has ended, in percent.
 const full = 100
 
+// rounding keeps 30.000000000000004 from counting as 31 seconds.
+const rounding = 1e-9
+
 // Task is a running task as the prediction sees it.
 type Task struct {
 	ElapsedS  float64
@@ -70,7 +73,7 @@
 func (h Horizon) sum(tasks []Task, share func(Task) float64) float64 {
 	var sum, longest float64
 	for _, t := range tasks {
-		seconds := math.Ceil(h.Remaining(t, share(t)))
+		seconds := math.Ceil(h.Remaining(t, share(t)) - rounding)
 		sum += seconds
 		longest = max(longest, seconds)
 	}
