--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -99,6 +99,9 @@
 			return false
 		}
 		c.do(func() {
+			if c.jobs[id] != b.job || !b.job.owned || !p.mine {
+				return // the part was lost meanwhile
+			}
 			b.chunk.unsure = false
 			b.chunk.version = 0
 			if err == nil {
