--- /dev/null
+++ b/internal/coordination/controller_test.go
@@ -0,0 +1,450 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/settings"
+)
+
+func TestJobsRunToCompletion(t *testing.T) {
+	simulate(t, 1, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1", 10, "red"))
+		w.submit(spec("job-2", 20, "blue"))
+		w.submit(spec("job-3", 150, "green")) // more than one run record
+		w.finish(5 * time.Minute)
+		// Idle machines go back.
+		time.Sleep(2 * time.Minute)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if n := len(w.cloud.machines); n > 0 {
+			t.Errorf("%d machines still rented", n)
+		}
+	})
+}
+
+func TestPlacesAreHonoured(t *testing.T) {
+	simulate(t, 2, func(w *world) {
+		time.Sleep(2 * time.Second)
+		a := spec("job-1", 6, "blue")
+		a.Zone, a.Spot = "b", false
+		b := spec("job-2", 4, "red")
+		b.Types = []string{"big"}
+		c := spec("job-3", 5, "green")
+		c.Spread = true
+		d := spec("job-4", 5, "green")
+		d.OneZone = true
+		for _, s := range []*protocol.JobSpec{a, b, c, d} {
+			w.submit(s)
+		}
+		w.finish(4 * time.Minute)
+	})
+}
+
+func TestTeamStaysWithinItsLimit(t *testing.T) {
+	simulate(t, 3, func(w *world) {
+		time.Sleep(2 * time.Second)
+		// 32 CPUs at most, so 8 of 24 tasks at a time.
+		w.submit(spec("job-1", 24, "red"))
+		w.kill("n0")
+		time.Sleep(10 * time.Second)
+		w.start("n0")
+		w.finish(4 * time.Minute)
+	})
+}
+
+func TestStandingJobRunsUntilWithdrawn(t *testing.T) {
+	simulate(t, 4, func(w *world) {
+		time.Sleep(2 * time.Second)
+		s := spec("job-1", 2, "blue")
+		s.Standing, s.EstimateS, s.DeadlineS = true, 0, 0
+		w.runTime = func(string, int, string) time.Duration { return time.Hour }
+		w.submit(s)
+		time.Sleep(30 * time.Second)
+		if st := w.poll("", "job-1"); st != protocol.StatusRunning {
+			t.Errorf("standing job is %q", st)
+		}
+		w.withdraw("job-1")
+		time.Sleep(30 * time.Second)
+		w.finish(time.Minute)
+	})
+}
+
+// A start that was held back in the network must not begin a task after its
+// job was withdrawn: the owner raises the machine's token.
+func TestLateStartAfterWithdrawalIsKeptOut(t *testing.T) {
+	simulate(t, 5, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1", 1, "blue")) // brings a machine up
+		w.finish(time.Minute)
+		w.mu.Lock()
+		var held []protocol.Orders
+		var machine string
+		w.onOrders = func(name string, o *protocol.Orders) {
+			for _, c := range o.Commands {
+				if c.Op == protocol.OpStart {
+					// The order hangs; the worker will see it minutes later.
+					held = append(held, *o)
+					machine = name
+					o.Token = 0
+				}
+			}
+		}
+		// Reports don't get through either, so that nothing repairs it.
+		w.cut = func(_, host string) bool { return machine != "" && host == machine }
+		w.mu.Unlock()
+		w.runTime = func(string, int, string) time.Duration { return time.Hour }
+		w.submit(spec("job-2", 1, "blue"))
+		time.Sleep(3 * time.Second)
+		w.withdraw("job-2")
+		w.mu.Lock()
+		w.cut, w.onOrders = nil, nil
+		if len(held) == 0 {
+			t.Fatal("no start was held back")
+		}
+		w.mu.Unlock()
+		time.Sleep(6 * time.Second)
+		w.mu.Lock()
+		wk := w.workers[machine]
+		if wk == nil {
+			w.mu.Unlock()
+			return // the machine was deleted: that keeps it out as well
+		}
+		w.mu.Unlock()
+		resp := wk.serve("/orders", protocol.Encode(held[0]))
+		if resp.Status == 200 {
+			t.Error("the late start was executed")
+		}
+		time.Sleep(40 * time.Second)
+	})
+}
+
+func TestOutageOfTheStateService(t *testing.T) {
+	simulate(t, 6, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1", 8, "blue"))
+		time.Sleep(12 * time.Second)
+		w.outage(true)
+		time.Sleep(3 * time.Second)
+		resp := w.ask("n1", "POST", "/submissions", submission(spec("job-2", 1, "red")))
+		if resp.Status != 503 || resp.RetryAfter == 0 {
+			t.Errorf("submission during the outage: %d, Retry-After %d", resp.Status, resp.RetryAfter)
+		}
+		if resp := w.ask("n1", "GET", "/submissions/job-1", nil); resp.Status != 503 {
+			t.Errorf("poll of an unfinished job during the outage: %d", resp.Status)
+		}
+		time.Sleep(8 * time.Second)
+		w.mu.Lock()
+		for _, wk := range w.workers {
+			if wk.session != 1 {
+				t.Errorf("%s lost its lease in the outage", wk.name)
+			}
+		}
+		w.mu.Unlock()
+		w.outage(false)
+		w.finish(2 * time.Minute)
+	})
+}
+
+func TestAnswersToUsers(t *testing.T) {
+	simulate(t, 7, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1", 1, "red"))
+		bad := spec("job-1", 1, "red")
+		bad.Tasks = -4
+		unknownTeam := spec("job-9", 1, "nobody")
+		tooLarge := spec("job-9", 1, "green")
+		tooLarge.CPUs = 1000
+		overLimit := spec("job-9", 10, "red")
+		overLimit.Standing = true
+		oddZone := spec("job-9", 1, "green")
+		oddZone.Types, oddZone.Zone = []string{"big"}, "b"
+		for _, tc := range []struct {
+			name, method, path string
+			body               []byte
+			want               int
+		}{
+			{"repeat", "POST", "/submissions", submission(spec("job-1", 1, "red")), 200},
+			{"invalid repeat of a known job", "POST", "/submissions", submission(bad), 200},
+			{"not MessagePack", "POST", "/submissions", []byte("{}"), 400},
+			{"not a map", "POST", "/submissions", []byte{0x93, 1, 2, 3}, 400},
+			{"invalid", "POST", "/submissions", []byte{0x81, 0xa7, 'n', 'a', 'm', 'e', '_', 'i', 'd', 0xa5, 'j', 'o', 'b', '-', '7'}, 400},
+			{"unknown team", "POST", "/submissions", submission(unknownTeam), 422},
+			{"fits no type", "POST", "/submissions", submission(tooLarge), 422},
+			{"more than the limit", "POST", "/submissions", submission(overLimit), 422},
+			{"type not offered in the zone", "POST", "/submissions", submission(oddZone), 422},
+			{"unknown job", "GET", "/submissions/job-77", nil, 404},
+			{"odd id", "GET", "/submissions/..", nil, 404},
+			{"withdrawal of an unknown job", "POST", "/submissions/job-77/withdraw", nil, 404},
+			{"unknown path", "GET", "/nothing", nil, 404},
+			{"wrong method", "DELETE", "/submissions/job-1", nil, 405},
+			{"health", "GET", "/healthz", nil, 200},
+			{"bad report", "POST", "/checkin", []byte{0x80}, 400},
+		} {
+			for _, label := range []string{"n0", "n1", "n2"} {
+				if resp := w.ask(label, tc.method, tc.path, tc.body); resp.Status != tc.want {
+					t.Errorf("%s at %s: %d, want %d", tc.name, label, resp.Status, tc.want)
+				}
+			}
+		}
+		w.finish(time.Minute)
+	})
+}
+
+// Done and withdrawn exclude each other, and what was said stays.
+func TestWithdrawalAndCompletionExcludeEachOther(t *testing.T) {
+	simulate(t, 8, func(w *world) {
+		time.Sleep(2 * time.Second)
+		for i := range 8 {
+			w.submit(spec(fmt.Sprintf("job-%d", i), 1, "green"))
+		}
+		for i := range 8 {
+			time.Sleep(1500 * time.Millisecond)
+			id := fmt.Sprintf("job-%d", i)
+			w.withdraw(id)
+			for _, label := range []string{"n0", "n1", "n2"} {
+				w.poll(label, id)
+			}
+		}
+		w.finish(time.Minute)
+	})
+}
+
+func TestWorkersAreSentHome(t *testing.T) {
+	simulate(t, 9, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1", 4, "green"))
+		w.finish(time.Minute)
+		w.mu.Lock()
+		var r *protocol.Report
+		for _, wk := range w.workers {
+			r = wk.snapshot()
+		}
+		w.mu.Unlock()
+		homes := map[string]bool{}
+		for _, label := range []string{"n0", "n1", "n2"} {
+			resp := w.ask(label, "POST", "/checkin", protocol.Encode(r))
+			if resp.Status == 421 {
+				var h protocol.Home
+				must(protocol.Decode(resp.Body, &h))
+				homes[h.Home] = true
+				if h.Home == label {
+					t.Errorf("%s names itself", label)
+				}
+			}
+		}
+		if len(homes) != 1 {
+			t.Errorf("homes named: %v", homes)
+		}
+	})
+}
+
+// A job that fails on every machine must not burn the fleet, and a machine on
+// which different jobs fail is returned.
+func TestFailingJobsAndFailingMachines(t *testing.T) {
+	simulate(t, 10, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.fails = func(job string, _ int, _ string) bool { return job == "job-13" }
+		w.submit(spec("job-13", 2, "red"))
+		w.submit(spec("job-2", 4, "blue"))
+		time.Sleep(2 * time.Minute)
+		w.mu.Lock()
+		starts := 0
+		for _, wk := range w.workers {
+			starts += wk.starts
+		}
+		rented := w.cloud.rented
+		w.mu.Unlock()
+		if rented > 10 || starts > 40 {
+			t.Errorf("%d machines rented, %d starts for a job that always fails", rented, starts)
+		}
+		w.withdraw("job-13")
+
+		var sick string
+		w.fails = func(_ string, _ int, machine string) bool {
+			if sick == "" {
+				sick = machine
+			}
+			return machine == sick
+		}
+		for i := range 6 {
+			w.submit(spec(fmt.Sprintf("job-10%d", i), 4, "green"))
+		}
+		w.finish(4 * time.Minute)
+		time.Sleep(20 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if sick != "" && w.workers[sick] != nil && w.workers[sick].starts > 8 {
+			t.Errorf("%s fails everything, was given %d tasks and is still there", sick, w.workers[sick].starts)
+		}
+	})
+}
+
+// A machine that is cut off may still run its tasks until its lease has run
+// out: they must not be started elsewhere before.
+func TestSilentMachineKeepsItsTasksUntilItsLeaseRunsOut(t *testing.T) {
+	simulate(t, 11, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.runTime = func(string, int, string) time.Duration { return 25 * time.Second }
+		w.submit(spec("job-1", 12, "blue"))
+		time.Sleep(15 * time.Second)
+		w.mu.Lock()
+		victim := ""
+		for name, wk := range w.workers {
+			if len(wk.tasks) > 0 {
+				victim = name
+			}
+		}
+		w.cut = func(_, host string) bool { return host == victim }
+		w.mu.Unlock()
+		if victim == "" {
+			t.Fatal("no machine has work")
+		}
+		time.Sleep(20 * time.Second)
+		w.mu.Lock()
+		w.cut = nil
+		w.mu.Unlock()
+		w.finish(3 * time.Minute)
+	})
+}
+
+func TestOwnerCutFromItsWorkersLetsGo(t *testing.T) {
+	simulate(t, 12, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1", 4, "red"))
+		w.submit(spec("job-2", 4, "blue"))
+		w.submit(spec("job-3", 4, "green"))
+		time.Sleep(10 * time.Second)
+		w.mu.Lock()
+		w.cut = func(from, host string) bool { return from == "n0" && strings.HasPrefix(host, "m-") }
+		w.mu.Unlock()
+		time.Sleep(25 * time.Second)
+		owned := 0
+		n := w.nodes["n0"].ctl
+		n.do(func() {
+			for _, p := range n.parts {
+				if p.mine {
+					owned++
+				}
+			}
+		})
+		machines := 0
+		n.do(func() { machines = len(n.machines) })
+		if owned > 0 && machines > 0 {
+			t.Logf("n0 still owns %d parts with %d machines on record", owned, machines)
+		}
+		w.finish(2 * time.Minute)
+		w.mu.Lock()
+		w.cut = nil
+		w.mu.Unlock()
+	})
+}
+
+// The seeded storm: controllers are killed, messages lost, late or doubled,
+// the state service goes out, machines hang and vanish; no rule may break and
+// every job must end.
+func TestNoRuleBreaksInAStorm(t *testing.T) {
+	seeds := 8
+	if testing.Short() {
+		seeds = 2
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			simulate(t, uint64(100+seed), storm)
+		})
+	}
+}
+
+func storm(w *world) {
+	time.Sleep(2 * time.Second)
+	w.mu.Lock()
+	w.trouble = 0.03
+	w.runTime = func(job string, task int, _ string) time.Duration {
+		return time.Duration(3+(len(job)*7+task*5)%15) * time.Second
+	}
+	w.mu.Unlock()
+	teams := []string{"red", "blue", "green"}
+	dice := func(n int) int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.rng.IntN(n)
+	}
+	next := 0
+	for range 60 {
+		time.Sleep(time.Duration(500+dice(3000)) * time.Millisecond)
+		switch dice(8) {
+		case 0, 1, 2:
+			s := spec(fmt.Sprintf("job-%d", next), 1+dice(12), teams[dice(3)])
+			s.Spread, s.OneZone = dice(4) == 0, dice(6) == 0
+			s.Urgency = protocol.Urgency(dice(4))
+			next++
+			w.submit(s)
+		case 3:
+			label := fmt.Sprintf("n%d", dice(3))
+			w.mu.Lock()
+			up := w.nodes[label] != nil
+			w.mu.Unlock()
+			if up {
+				w.kill(label)
+				time.Sleep(time.Duration(dice(6000)) * time.Millisecond)
+				w.start(label)
+			}
+		case 4:
+			w.outage(true)
+			time.Sleep(time.Duration(dice(9000)) * time.Millisecond)
+			w.outage(false)
+		case 5:
+			// A machine hangs, for less or more than its lease, or for ever.
+			w.mu.Lock()
+			var victim *worker
+			for _, wk := range w.workers {
+				victim = wk
+			}
+			if victim != nil {
+				victim.hung = true
+				for6 := time.Duration(2000+w.rng.IntN(12000)) * time.Millisecond
+				w.group.Go(func() {
+					time.Sleep(for6)
+					w.mu.Lock()
+					victim.hung = false
+					w.mu.Unlock()
+				})
+			}
+			w.mu.Unlock()
+		case 6:
+			if next > 0 {
+				w.withdraw(fmt.Sprintf("job-%d", dice(next)))
+			}
+		case 7:
+			if next > 0 {
+				w.poll(fmt.Sprintf("n%d", dice(3)), fmt.Sprintf("job-%d", dice(next)))
+			}
+		}
+	}
+	w.mu.Lock()
+	w.trouble = 0
+	w.mu.Unlock()
+	w.finish(6 * time.Minute)
+}
+
+func TestTeamsAreBalancedOverParts(t *testing.T) {
+	teams := []settings.Team{{CPUs: 10}, {CPUs: 100}, {CPUs: 50}, {CPUs: 50}, {CPUs: 10}}
+	load := make([]float64, 2)
+	for i, p := range teamParts(teams, 2) {
+		load[p] += teams[i].CPUs
+	}
+	if load[0] != 110 || load[1] != 110 {
+		t.Errorf("load %v", load)
+	}
+	seen := map[int]bool{}
+	for _, p := range teamParts(make([]settings.Team, 3), 3) {
+		seen[p] = true
+	}
+	if len(seen) != 3 {
+		t.Errorf("teams without a guarantee all went to %v", seen)
+	}
+}
