--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -30,10 +30,19 @@
 func TestPlacesAreHonoured(t *testing.T) {
 	simulate(t, 2, func(w *world) {
 		time.Sleep(2 * time.Second)
+		// First a machine that is free but not allowed: spot, small, zone a.
+		w.runTime = func(string, int, string) time.Duration { return 30 * time.Second }
+		first := spec("job-9", 1, "blue")
+		first.CPUs, first.Zone = 1, "a"
+		w.submit(first)
+		time.Sleep(10 * time.Second)
 		a := spec("job-1", 6, "blue")
 		a.Zone, a.Spot = "b", false
-		b := spec("job-2", 4, "red")
+		b := spec("job-2", 4, "blue")
 		b.Types = []string{"big"}
+		e := spec("job-5", 1, "blue")
+		e.Spot, e.CPUs = false, 1
+		w.submit(e)
 		c := spec("job-3", 5, "green")
 		c.Spread = true
 		d := spec("job-4", 5, "green")
@@ -123,6 +132,131 @@
 	})
 }
 
+// What an owner sent before it lost its part must not be obeyed after the
+// successor was heard: a takeover raises every machine's token.
+func TestOrdersOfAFormerOwnerAreRefused(t *testing.T) {
+	simulate(t, 13, func(w *world) {
+		time.Sleep(2 * time.Second)
+		late := map[string]protocol.Orders{}
+		w.onOrders = func(name string, o *protocol.Orders) { late[name] = *o }
+		w.runTime = func(string, int, string) time.Duration { return time.Minute }
+		for i, team := range []string{"red", "blue", "green"} {
+			w.submit(spec(fmt.Sprintf("job-%d", i), 2, team))
+		}
+		time.Sleep(15 * time.Second)
+		w.mu.Lock()
+		w.onOrders = nil
+		before := len(late)
+		w.mu.Unlock()
+		if before == 0 {
+			t.Fatal("no orders were sent")
+		}
+		for _, label := range []string{"n0", "n1", "n2"} {
+			w.kill(label)
+		}
+		w.start("n1")
+		time.Sleep(7 * time.Second)
+		for name, o := range late {
+			w.mu.Lock()
+			wk := w.workers[name]
+			w.mu.Unlock()
+			if resp := wk.serve("/orders", protocol.Encode(o)); resp.Status == 200 {
+				t.Errorf("%s obeyed an order from before the takeover", name)
+			}
+		}
+		w.finish(3 * time.Minute)
+	})
+}
+
+// Accepted means recorded: while the record's fate is unknown, the user is
+// told to come back.
+func TestNothingIsAcceptedWithoutItsRecord(t *testing.T) {
+	simulate(t, 14, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		w.cut = func(from, host string) bool { return from == "n0" && host == "state" }
+		w.mu.Unlock()
+		for _, wait := range []time.Duration{0, 3 * time.Second} {
+			time.Sleep(wait)
+			begun := time.Now()
+			resp := w.ask("n0", "POST", "/submissions", submission(spec("job-1", 1, "red")))
+			if resp.Status != 503 || resp.RetryAfter < 1 {
+				t.Errorf("submission without the state service: %d, Retry-After %d", resp.Status, resp.RetryAfter)
+			}
+			if wait > 0 && time.Since(begun) > 100*time.Millisecond {
+				t.Errorf("refusal came after %s", time.Since(begun))
+			}
+		}
+		// The other controllers serve, so this one leaves the users to them.
+		if resp := w.ask("n0", "GET", "/healthz", nil); resp.Status != 503 {
+			t.Errorf("health of a controller that alone is cut off: %d", resp.Status)
+		}
+		w.mu.Lock()
+		w.cut = nil
+		w.mu.Unlock()
+	})
+}
+
+// An owner without the state service keeps its workers' leases alive, but not
+// for so long that a task withdrawn through a successor outlives cancel_s.
+func TestOwnerAnswersWorkersOnlyForABoundedTime(t *testing.T) {
+	simulate(t, 15, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.runTime = func(string, int, string) time.Duration { return time.Hour }
+		for i, team := range []string{"red", "blue", "green"} {
+			w.submit(spec(fmt.Sprintf("job-%d", i), 1, team))
+		}
+		time.Sleep(12 * time.Second)
+		w.outage(true)
+		// cancel_s − lease_s and two seconds' margin: 25 − 8 − 2 = 15.
+		answered := func() (n int) {
+			for _, label := range []string{"n0", "n1", "n2"} {
+				w.mu.Lock()
+				var reports []*protocol.Report
+				for _, wk := range w.workers {
+					reports = append(reports, wk.snapshot())
+				}
+				w.mu.Unlock()
+				for _, r := range reports {
+					if w.ask(label, "POST", "/checkin", protocol.Encode(r)).Status == 200 {
+						n++
+					}
+				}
+			}
+			return n
+		}
+		time.Sleep(11 * time.Second)
+		if answered() == 0 {
+			t.Error("nobody answers the workers 11 s into the outage")
+		}
+		time.Sleep(6 * time.Second)
+		if n := answered(); n > 0 {
+			t.Errorf("%d reports answered 17 s into the outage", n)
+		}
+		w.outage(false)
+	})
+}
+
+// A rental whose answer was lost is repeated under its name, so that nothing
+// is rented twice; what turns up without a record is adopted.
+func TestLostRentalAnswersRentNothingTwice(t *testing.T) {
+	simulate(t, 16, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		w.trouble = 0.3
+		w.mu.Unlock()
+		w.submit(spec("job-1", 2, "blue"))
+		time.Sleep(40 * time.Second)
+		w.mu.Lock()
+		w.trouble = 0
+		if w.cloud.rented > 4 {
+			t.Errorf("%d machines rented for two tasks", w.cloud.rented)
+		}
+		w.mu.Unlock()
+		w.finish(2 * time.Minute)
+	})
+}
+
 func TestOutageOfTheStateService(t *testing.T) {
 	simulate(t, 6, func(w *world) {
 		time.Sleep(2 * time.Second)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/vmihailenco/msgpack/v5"
 
+	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/settings"
 	"micaspindle/internal/transport"
@@ -703,6 +704,9 @@
 		switch c.Op {
 		case protocol.OpStart:
 			if t == nil {
+				if !wk.w.recorded(c, wk) {
+					wk.w.breakRule("start of %s on %s before its record", c.Task, wk.name)
+				}
 				nt := &workerTask{name: c.Task, number: c.Attempt, state: protocol.TaskFetching, begun: time.Now()}
 				for _, o := range wk.tasks {
 					if o.name == c.Task && o.state != protocol.TaskEnded {
@@ -723,6 +727,23 @@
 	}
 }
 
+// recorded says whether a start stands in the state service, with the lock
+// held: no commit, no start.
+func (w *world) recorded(c protocol.Command, wk *worker) bool {
+	id, task, _ := protocol.ParseTask(c.Task)
+	for key, it := range w.state.items {
+		if job, _, err := bookkeeping.ParseRunKey(key); err != nil || job != id || !strings.HasPrefix(key, "r/") {
+			continue
+		}
+		var run bookkeeping.Run
+		must(bookkeeping.Decode(it.Value, &run))
+		if slices.Contains(run.Live, bookkeeping.Attempt{Task: task, Number: c.Attempt, Machine: wk.name, Session: wk.session}) {
+			return true
+		}
+	}
+	return false
+}
+
 func (wk *worker) serve(path string, body []byte) *transport.Response {
 	wk.w.mu.Lock()
 	defer wk.w.mu.Unlock()
--- /dev/null
+++ b/internal/transport/engine_test.go
@@ -0,0 +1,132 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// freeAddr finds a loopback address nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close() //nolint:errcheck // closed at once
+	return l.Addr().String()
+}
+
+func run(t *testing.T, h Handler, maxConns int) (addr string, client *Client) {
+	t.Helper()
+	addr = freeAddr(t)
+	client = NewClient()
+	ctx, cancel := context.WithCancel(context.Background())
+	up, down := make(chan struct{}), make(chan error, 1)
+	go func() {
+		down <- Run(ctx, []*Listener{{Addr: addr, Handler: h, MaxConns: maxConns, MaxBody: 1000}}, func(e *Engine) {
+			client.Attach(e)
+			close(up)
+		})
+	}()
+	select {
+	case <-up:
+	case err := <-down:
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		if err := <-down; err != nil {
+			t.Error(err)
+		}
+	})
+	return addr, client
+}
+
+func echo(_ context.Context, r *Request) Response {
+	if r.Path == "/panic" {
+		panic("told to")
+	}
+	return Response{Status: 200, Body: append([]byte(r.Method+" "), r.Body...), RetryAfter: 3}
+}
+
+func TestRequestsOverTheEngine(t *testing.T) {
+	addr, client := run(t, echo, 50)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() {
+			for k := range 20 {
+				body := fmt.Appendf(nil, "%d.%d", i, k)
+				resp, err := client.Do(ctx, addr, "POST", "/x", body)
+				if err != nil || resp.Status != 200 || !bytes.Equal(resp.Body, append([]byte("POST "), body...)) || resp.RetryAfter != 3 {
+					t.Errorf("%v %+v", err, resp)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	if resp, err := client.Do(ctx, addr, "GET", "/panic", nil); err != nil || resp.Status != 500 {
+		t.Errorf("failing handler: %v %+v", err, resp)
+	}
+	if _, err := client.Do(ctx, freeAddr(t), "GET", "/", nil); !errors.Is(err, ErrNotSent) {
+		t.Errorf("nobody listens: %v", err)
+	}
+	client.Sweep()
+}
+
+func TestMalformedRequestsAreAnsweredAndClosed(t *testing.T) {
+	addr, _ := run(t, echo, 50)
+	for in, want := range map[string]string{
+		"nonsense\r\n\r\n": "HTTP/1.1 400 ",
+		"POST / HTTP/1.1\r\nContent-Length: 5000\r\n\r\n": "HTTP/1.1 413 ",
+	} {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte(in)); err != nil {
+			t.Fatal(err)
+		}
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		got, err := io.ReadAll(c)
+		if err != nil || !bytes.HasPrefix(got, []byte(want)) {
+			t.Errorf("%q: %q, %v", in, got, err)
+		}
+		_ = c.Close()
+	}
+}
+
+// A flood of connections must leave the process its sockets.
+func TestConnectionsPastTheBoundAreRefused(t *testing.T) {
+	addr, _ := run(t, echo, 2)
+	var open []net.Conn
+	refused := 0
+	for range 6 {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			refused++
+			continue
+		}
+		open = append(open, c)
+		_, _ = c.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if _, err := c.Read(make([]byte, 10)); err != nil {
+			refused++
+		}
+	}
+	for _, c := range open {
+		_ = c.Close()
+	}
+	if refused != 4 {
+		t.Errorf("%d of 6 refused, want 4", refused)
+	}
+}
