Dialled connections get a gnet loop of their own; bad settings exit with 2

Cause: gnet's Engine.Register reads its load balancer while the acceptor writes it (race detector, transport tests); and kong wraps errors, so the caller's mistakes ended with code 1.

--- a/cmd/micaspindle/main.go
+++ b/cmd/micaspindle/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -11,7 +12,6 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
-	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -99,31 +99,15 @@
 		{Addr: set.ServeOn, Handler: ctl.Serve, MaxBody: 64 << 10, MaxConns: max(8, sockets*3/4)},
 		{Addr: set.ClusterListen, Handler: ctl.ServePeers, MaxBody: coordination.MaxPeerBody, MaxConns: max(8, sockets/20)},
 	}
-	done := make(chan struct{})
 	err := transport.Run(ctx, listeners, func(e *transport.Engine) {
 		client.Attach(e)
 		log.Info("serving", "label", set.Label, "zone", set.Zone, "addr", set.ServeOn)
-		go func() {
-			defer close(done)
-			ctl.Run(ctx)
-		}()
-		go func() {
-			tick := time.NewTicker(10 * time.Second)
-			defer tick.Stop()
-			for {
-				select {
-				case <-tick.C:
-					client.Sweep()
-				case <-ctx.Done():
-					return
-				}
-			}
-		}()
+		go client.SweepUntil(ctx)
+		ctl.Run(ctx)
 	})
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
 	}
-	<-done
 	log.Info("stopped", "reason", context.Cause(ctx))
 	return nil
 }
@@ -148,7 +132,7 @@
 	}
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "micaspindle:", err)
-		if _, ok := err.(usageError); ok {
+		if errors.As(err, new(usageError)) {
 			os.Exit(2)
 		}
 		os.Exit(1)
--- a/internal/transport/client.go
+++ b/internal/transport/client.go
@@ -111,9 +111,23 @@
 	c.idle[addr] = append(c.idle[addr], idleStream{s: s, since: time.Now()})
 }
 
-// Sweep closes connections that nobody has used for a while; hosts come and
+// SweepUntil sweeps now and then until ctx ends.
+func (c *Client) SweepUntil(ctx context.Context) {
+	tick := time.NewTicker(idleFor / 2)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			c.sweep()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// sweep closes connections that nobody has used for a while; hosts come and
 // go, and their sockets must not stay.
-func (c *Client) Sweep() {
+func (c *Client) sweep() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for addr, list := range c.idle {
--- a/internal/transport/engine.go
+++ b/internal/transport/engine.go
@@ -39,19 +39,28 @@
 	open     atomic.Int64
 }
 
-// Engine is one gnet event loop that carries every connection of the process.
+// Engine carries every connection of the process: one gnet event loop for the
+// accepted ones and one for those that it dialled. gnet's way of registering
+// dialled connections with a listening engine races with its acceptor.
 type Engine struct {
 	gnet.BuiltinEventEngine
 	listeners map[string]*Listener
 	eng       gnet.Engine
+	client    *gnet.Client
 	booted    chan struct{}
 	ctx       context.Context
 	conns     sync.WaitGroup
 }
 
-// Run serves the listeners until ctx ends. ready receives the engine once
-// connections can be made.
-func Run(ctx context.Context, listeners []*Listener, ready func(*Engine)) error {
+// dialled handles the connections that the process made.
+type dialled struct{ gnet.BuiltinEventEngine }
+
+func (*dialled) OnTraffic(raw gnet.Conn) gnet.Action          { return onTraffic(raw) }
+func (*dialled) OnClose(raw gnet.Conn, err error) gnet.Action { return onClose(raw, err) }
+
+// Run serves the listeners until ctx ends. Once connections can be made, body
+// runs with the engine; the engine stops after body has returned.
+func Run(ctx context.Context, listeners []*Listener, body func(*Engine)) error {
 	e := &Engine{listeners: map[string]*Listener{}, booted: make(chan struct{}), ctx: ctx}
 	var addrs []string
 	for _, l := range listeners {
@@ -62,36 +71,55 @@
 		e.listeners[port] = l
 		addrs = append(addrs, "tcp4://"+l.Addr)
 	}
+	client, err := gnet.NewClient(&dialled{}, options()...)
+	if err != nil {
+		return fmt.Errorf("transport: client: %w", err)
+	}
+	e.client = client
+	if err := client.Start(); err != nil {
+		return fmt.Errorf("transport: client: %w", err)
+	}
 	failed := make(chan error, 1)
-	go func() {
-		failed <- gnet.Rotate(e, addrs,
-			gnet.WithNumEventLoop(1),
-			gnet.WithTCPNoDelay(gnet.TCPNoDelay),
-			gnet.WithReuseAddr(true),
-			gnet.WithReadBufferCap(16<<10),
-			gnet.WithWriteBufferCap(16<<10),
-			gnet.WithLogger(engineLog{}))
-	}()
+	go func() { failed <- gnet.Rotate(e, addrs, append(options(), gnet.WithReuseAddr(true))...) }()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("transport: start: %w", err)
 	case <-e.booted:
 	}
-	ready(e)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		body(e)
+	}()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("transport: engine ended: %w", err)
 	case <-ctx.Done():
 	}
+	<-ended
 	stop, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	if err := e.eng.Stop(stop); err != nil {
 		return fmt.Errorf("transport: stop: %w", err)
 	}
+	// No connection can be accepted any more, so the count only falls.
 	e.conns.Wait()
+	if err := client.Stop(); err != nil {
+		return fmt.Errorf("transport: stop: %w", err)
+	}
 	return nil
 }
 
+func options() []gnet.Option {
+	return []gnet.Option{
+		gnet.WithNumEventLoop(1),
+		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
+		gnet.WithReadBufferCap(16 << 10),
+		gnet.WithWriteBufferCap(16 << 10),
+		gnet.WithLogger(engineLog{}),
+	}
+}
+
 // engineLog passes gnet's own messages on to the process's log.
 type engineLog struct{}
 
@@ -114,13 +142,8 @@
 	return gnet.None
 }
 
-// OnOpen starts the goroutine of an accepted connection; one that the client
-// dialled brings its stream along.
+// OnOpen starts the goroutine of an accepted connection.
 func (e *Engine) OnOpen(raw gnet.Conn) ([]byte, gnet.Action) {
-	if s, ok := raw.Context().(*stream); ok {
-		s.raw = raw
-		return nil, gnet.None
-	}
 	_, port, _ := net.SplitHostPort(raw.LocalAddr().String())
 	l := e.listeners[port]
 	if l == nil || e.ctx.Err() != nil {
@@ -142,7 +165,12 @@
 }
 
 // OnTraffic hands the bytes that came to the connection's goroutine.
-func (e *Engine) OnTraffic(raw gnet.Conn) gnet.Action {
+func (e *Engine) OnTraffic(raw gnet.Conn) gnet.Action { return onTraffic(raw) }
+
+// OnClose wakes the connection's goroutine for the last time.
+func (e *Engine) OnClose(raw gnet.Conn, err error) gnet.Action { return onClose(raw, err) }
+
+func onTraffic(raw gnet.Conn) gnet.Action {
 	buf, err := raw.Next(-1)
 	s, ok := raw.Context().(*stream)
 	if err != nil || !ok || !s.feed(buf) {
@@ -151,8 +179,7 @@
 	return gnet.None
 }
 
-// OnClose wakes the connection's goroutine for the last time.
-func (e *Engine) OnClose(raw gnet.Conn, err error) gnet.Action {
+func onClose(raw gnet.Conn, err error) gnet.Action {
 	if s, ok := raw.Context().(*stream); ok {
 		if err == nil {
 			err = ErrClosed
@@ -171,16 +198,11 @@
 		return nil, fmt.Errorf("transport: dial %s: %w", addr, err)
 	}
 	s := newStream(clientBuffer)
-	regCtx := gnet.NewContext(gnet.NewNetConnContext(ctx, nc), s)
-	done, err := e.eng.Register(regCtx)
+	raw, err := e.client.EnrollContext(nc, s)
 	if err != nil {
-		_ = nc.Close()
 		return nil, fmt.Errorf("transport: enrol %s: %w", addr, err)
 	}
-	res := <-done
-	if res.Err != nil {
-		return nil, fmt.Errorf("transport: enrol %s: %w", addr, res.Err)
-	}
+	s.raw = raw
 	return s, nil
 }
 
--- a/internal/transport/engine_test.go
+++ b/internal/transport/engine_test.go
@@ -33,6 +33,7 @@
 		down <- Run(ctx, []*Listener{{Addr: addr, Handler: h, MaxConns: maxConns, MaxBody: 1000}}, func(e *Engine) {
 			client.Attach(e)
 			close(up)
+			<-ctx.Done()
 		})
 	}()
 	select {
@@ -80,7 +81,7 @@
 	if _, err := client.Do(ctx, freeAddr(t), "GET", "/", nil); !errors.Is(err, ErrNotSent) {
 		t.Errorf("nobody listens: %v", err)
 	}
-	client.Sweep()
+	client.sweep()
 }
 
 func TestMalformedRequestsAreAnsweredAndClosed(t *testing.T) {
