--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -30,7 +30,10 @@
 	deleting map[string]time.Time
 	adopting map[string]time.Time
 	moved    map[string]time.Time
-	listed   map[string]protocol.ListedMachine
+	// settled is when a part was last given a machine: what its owner said
+	// before it noticed must not bring another one.
+	settled map[int]time.Time
+	listed  map[string]protocol.ListedMachine
 }
 
 // offer is something that the cloud rents.
@@ -49,7 +52,7 @@
 func (l *leaderState) init() {
 	l.renting, l.refused = map[string]*rental{}, map[offer]time.Time{}
 	l.deleting, l.adopting = map[string]time.Time{}, map[string]time.Time{}
-	l.moved = map[string]time.Time{}
+	l.moved, l.settled = map[string]time.Time{}, map[int]time.Time{}
 	l.listed = map[string]protocol.ListedMachine{}
 }
 
@@ -209,9 +212,13 @@
 	states  map[string]*peer.MachineStatus
 }
 
+// settleTime is how long a new machine's record takes to show in what its
+// owner says.
+const settleTime = 300 * time.Millisecond
+
 func (c *Controller) views(now time.Time) []*view {
 	views := make([]*view, len(c.parts))
-	fill := func(owner string, sum *peer.Summary) {
+	fill := func(owner string, sum *peer.Summary, heard time.Time) {
 		for _, ps := range sum.Parts {
 			i := int(ps.Part)
 			if i >= len(views) || c.parts[i].owner != owner {
@@ -221,13 +228,16 @@
 			for _, st := range ps.Machines {
 				v.states[st.Name] = st
 			}
+			if heard.Sub(c.leader.settled[i]) < settleTime {
+				v.demands = nil
+			}
 			views[i] = v
 		}
 	}
-	fill(c.set.Label, c.summary(now))
+	fill(c.set.Label, c.summary(now), now)
 	for label, ps := range c.peers {
 		if ps.summary != nil && now.Sub(ps.heard) < 2*time.Second {
-			fill(label, ps.summary)
+			fill(label, ps.summary, ps.heard)
 		}
 	}
 	return views
@@ -476,7 +486,9 @@
 					c.leader.moved[name] = now
 					st.Idle = false
 					c.log.Info("moving machine", "machine", name, "from", from.part, "to", to.part)
-					c.askOwner(from.owner, &peer.FleetRequest{Machine: name, ToPart: uint32(to.part)}, nil)
+					c.askOwner(from.owner, &peer.FleetRequest{Machine: name, ToPart: uint32(to.part)}, func() {
+						c.do(func() { c.leader.settled[to.part] = time.Now() })
+					})
 				}
 			}
 		}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -114,7 +114,7 @@
 func (c *Controller) partSummary(p *part, now time.Time) *peer.PartSummary {
 	ps := &peer.PartSummary{Part: uint32(p.index), Claim: p.version}
 	type room struct{ cpus, gpus, mem float64 }
-	var booting []*machine
+	var coming []*machine
 	left := map[*machine]*room{}
 	for _, m := range c.machines {
 		if m.rec.Part != p.index {
@@ -134,7 +134,7 @@
 		// of what waits.
 		if m.typ != nil && !m.lost && !m.faulty && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
 			now.Sub(m.recordedAt) < c.bootLimit(m.typ) {
-			booting = append(booting, m)
+			coming = append(coming, m)
 			left[m] = &room{st.FreeCpus, st.FreeGpus, st.FreeMemGb}
 		}
 	}
@@ -151,7 +151,7 @@
 		if team.GPUsMax > 0 && s.GPUs > 0 {
 			n = min(n, int((team.GPUsMax-p.usage[j.team].gpus+epsilon)/s.GPUs))
 		}
-		for _, m := range booting {
+		for _, m := range coming {
 			r := left[m]
 			for n > 0 && allowed(s, m.rec.Type, m.rec.Zone, m.rec.Spot) &&
 				s.CPUs <= r.cpus+epsilon && s.GPUs <= r.gpus+epsilon && s.MemGB <= r.mem+epsilon {
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -41,6 +41,11 @@
 	}
 }
 
+// spareSlack is how much time a task must have left, beyond its run and the
+// boot, for the leader to wait for spot capacity instead of paying the
+// ordinary price.
+const spareSlack = 25.0
+
 // cheapest picks the offer that serves a demand at the least price for each of
 // its tasks, and how many of them it holds.
 func (c *Controller) cheapest(d *peer.Demand, now time.Time) (offer, int) {
@@ -60,6 +65,9 @@
 				if !demandAllows(d, t.Name, zone, spot) || now.Before(c.leader.refused[o]) {
 					continue
 				}
+				if !spot && d.Spot && d.SlackS-d.EstimateS-t.BootS > spareSlack {
+					continue // there is time to wait for a spot machine
+				}
 				price := t.Price
 				if spot {
 					price = t.SpotPrice
@@ -114,7 +122,10 @@
 			}
 			c.recordMachines(names.Machines, bookkeeping.Machine{Part: r.part, Type: r.offer.typ, Zone: r.offer.zone,
 				Spot: r.offer.spot, RentedMS: time.Now().UnixMilli()})
-			c.do(func() { delete(c.leader.renting, name) })
+			c.do(func() {
+				delete(c.leader.renting, name)
+				c.leader.settled[r.part] = time.Now()
+			})
 			return
 		case err == nil && (status == 503 || status == 400):
 			c.log.Info("rental refused", "request", name, "type", r.offer.typ, "zone", r.offer.zone, "spot", r.offer.spot, "status", status)
