Ordinary machines are used last and returned sooner

Cause: price 2.7 to 3.4 with ordinary machines three times as dear as spot ones kept busy by evened contention.

--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -544,6 +544,15 @@
 	return reply, proto.Unmarshal(resp.Body, reply)
 }
 
+// idleLimit is how long a machine may stand idle; an ordinary one is too dear
+// to wait as long as a spot one.
+func (c *Controller) idleLimit(m *machine) float64 {
+	if m.rec.Spot {
+		return c.op.IdleReturn.Seconds()
+	}
+	return c.op.IdleReturn.Seconds() / 3
+}
+
 // returnIdle returns machines that have stood idle, unless their first minute,
 // which is paid anyway, is not over.
 func (c *Controller) returnIdle(views []*view, now time.Time) {
@@ -553,7 +562,7 @@
 		}
 		for name, st := range v.states {
 			m := c.machines[name]
-			if m == nil || m.typ == nil || !st.Idle || st.IdleS < c.op.IdleReturn.Seconds() || now.Sub(m.recordedAt) < 55*time.Second ||
+			if m == nil || m.typ == nil || !st.Idle || st.IdleS < c.idleLimit(m) || now.Sub(m.recordedAt) < 55*time.Second ||
 				now.Sub(c.leader.moved[name]) < 3*time.Second || now.Sub(c.leader.deleting[name]) < 5*time.Second {
 				continue
 			}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -436,6 +436,11 @@
 	if len(fit) == 0 {
 		return nil
 	}
+	// The dearer ordinary machines are left alone while a spot one has room, so
+	// that they empty and can be returned (the exception in docs/design.md).
+	if spot := slices.DeleteFunc(slices.Clone(fit), func(m *machine) bool { return !m.rec.Spot }); len(spot) > 0 {
+		fit = spot
+	}
 	slices.SortFunc(fit, func(a, b *machine) int {
 		_, ai := a.images[j.spec.Image]
 		_, bi := b.images[j.spec.Image]
