--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -583,3 +583,32 @@
 		t.Errorf("teams with a guarantee or a limit are not spread: %v", parts)
 	}
 }
+
+// Serving what must be late first would make the next jobs late too; yet what
+// has waited very long must not starve.
+func TestLateJobsQueueBehindThoseInTime(t *testing.T) {
+	set := newWorld(t, 1).set
+	set.Label = "n0"
+	c := New(&set, settings.DefaultOperator(), nil, nil)
+	now := time.Now()
+	add := func(id string, age, deadline float64, urgency protocol.Urgency) {
+		s := spec(id, 1, "red") // runs 6 s
+		s.DeadlineS, s.Urgency = deadline, urgency
+		j := &job{spec: s, received: now.Add(-settings.Seconds(age))}
+		j.own()
+		c.jobs[id] = j
+	}
+	add("late", 30, 20, protocol.Standard)          // over at 36 s of 20
+	add("a-little-late", 20, 20, protocol.Standard) // over at 26 s, within 1.5 times
+	add("in-time", 1, 60, protocol.Standard)
+	add("sooner", 1, 20, protocol.Standard)
+	add("starving", 200, 20, protocol.Standard)
+	add("urgent-late", 50, 20, protocol.High)
+	var got []string
+	for _, j := range c.inOrder(c.parts[0]) {
+		got = append(got, j.spec.ID)
+	}
+	if want := "urgent-late starving sooner in-time a-little-late late"; strings.Join(got, " ") != want {
+		t.Errorf("order %v, want %s", got, want)
+	}
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -321,18 +321,24 @@
 }
 
 // inOrder lists a part's jobs in the order in which they are served: urgency,
-// then deadline, then age.
+// then what can still be done in time, then deadline, then age.
 func (c *Controller) inOrder(p *part) []*job {
 	var list []*job
+	now := time.Now()
+	hope := map[*job]int{}
 	for _, j := range c.jobs {
 		if j.part == p.index && j.owned {
 			list = append(list, j)
+			hope[j] = c.hopeless(j, now)
 		}
 	}
 	slices.SortFunc(list, func(a, b *job) int {
 		if a.spec.Urgency != b.spec.Urgency {
 			return int(b.spec.Urgency) - int(a.spec.Urgency)
 		}
+		if hope[a] != hope[b] {
+			return hope[a] - hope[b]
+		}
 		if d := a.due().Compare(b.due()); d != 0 {
 			return d
 		}
@@ -341,6 +347,23 @@
 	return list
 }
 
+// hopeless grades jobs by how late they must be: serving a job that is late in
+// any case first would make the next ones late too. What has waited several
+// times its deadline goes first again, so that nothing starves.
+func (c *Controller) hopeless(j *job, now time.Time) int {
+	d := j.spec.DeadlineS
+	if d <= 0 || len(j.queue) == 0 {
+		return 0
+	}
+	switch end := now.Sub(j.received).Seconds() + c.estimate(j.spec); {
+	case end <= d || end > 5*d:
+		return 0
+	case end <= 1.5*d:
+		return 1
+	}
+	return 2
+}
+
 // due is when a job should be done; one without a deadline queues as if it
 // had a long one.
 func (j *job) due() time.Time {
