--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -201,10 +201,23 @@
 // controllers hear them, it is cut off from the workers and must let go (11).
 func (c *Controller) checkClaims(now time.Time) {
 	silence := max(3*c.reportS, 4*time.Second)
+	for _, ps := range c.peers {
+		if ps.summary == nil || now.Sub(ps.heard) > 2*time.Second {
+			continue
+		}
+		for _, name := range ps.summary.Strayed {
+			if m := c.machines[name]; m != nil && m.strayedSince.IsZero() {
+				m.strayedSince = now
+			}
+		}
+	}
 	var machines, silent int
 	strayed := false
 	for _, m := range c.machines {
 		p := c.parts[m.rec.Part]
+		if !p.mine || m.lastHeard.After(m.strayedSince) {
+			m.strayedSince = time.Time{}
+		}
 		if !p.mine || now.Sub(p.claimed) < silence {
 			continue
 		}
@@ -212,14 +225,8 @@
 		if now.Sub(m.lastHeard) > silence {
 			silent++
 		}
-		for _, ps := range c.peers {
-			if ps.summary == nil || now.Sub(ps.heard) > 2*time.Second {
-				continue
-			}
-			for _, name := range ps.summary.Strayed {
-				strayed = strayed || name == m.name
-			}
-		}
+		// A worker that was just sent home needs a moment to get here.
+		strayed = strayed || !m.strayedSince.IsZero() && now.Sub(m.strayedSince) > silence
 	}
 	if machines > 0 && silent == machines && strayed {
 		c.log.Info("resigning", "reason", "no worker heard while others hear them", "machines", machines)
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -612,3 +612,113 @@
 		t.Errorf("order %v, want %s", got, want)
 	}
 }
+
+// Who may be stopped for whom: PROTOCOL, "Preemption".
+func TestOnlyWhatTheProtocolAllowsIsPreempted(t *testing.T) {
+	set := newWorld(t, 1).set
+	set.Label = "n0"
+	c := New(&set, settings.DefaultOperator(), nil, nil)
+	p := c.parts[0]
+	mk := func(team int, u protocol.Urgency) *job {
+		s := spec("job-1", 1, set.Params.Teams[team].Name)
+		s.Urgency = u
+		return &job{spec: s, team: team}
+	}
+	const red, blue, green = 0, 1, 2 // green has no guarantee
+	p.usage[red] = quota{cpus: 20}   // beyond its 16
+	p.usage[blue] = quota{cpus: 8}   // within its 16
+	p.usage[green] = quota{cpus: 4}
+	for _, tc := range []struct {
+		name        string
+		job, victim *job
+		want        bool
+	}{
+		{"lower urgency", mk(red, protocol.High), mk(blue, protocol.Standard), true},
+		{"same urgency, not guaranteed", mk(red, protocol.High), mk(green, protocol.High), false},
+		{"guaranteed, other team beyond its own", mk(blue, protocol.Low), mk(red, protocol.Production), true},
+		{"guaranteed, other team without a guarantee", mk(blue, protocol.Low), mk(green, protocol.High), true},
+		{"guaranteed, own team", mk(blue, protocol.Low), mk(blue, protocol.Low), false},
+	} {
+		if got := c.mayPreempt(p, tc.job, c.withinGuarantee(p, tc.job), tc.victim); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+	p.usage[red] = quota{cpus: 16}
+	if j := mk(blue, protocol.Low); c.mayPreempt(p, j, c.withinGuarantee(p, j), mk(red, protocol.Low)) {
+		t.Error("work within its team's guarantee may be stopped")
+	}
+}
+
+func TestUrgentWorkGetsRoomFromLowerWork(t *testing.T) {
+	simulate(t, 17, func(w *world) {
+		w.cloud.capacity = 1
+		w.cloud.types = w.cloud.types[:1]
+		time.Sleep(2 * time.Second)
+		w.runTime = func(job string, _ int, _ string) time.Duration {
+			if job == "job-1" {
+				return time.Hour
+			}
+			return 5 * time.Second
+		}
+		low := spec("job-1", 2, "blue") // fills the only machine
+		low.Standing, low.EstimateS, low.DeadlineS = true, 0, 0
+		w.submit(low)
+		time.Sleep(20 * time.Second)
+		same := spec("job-2", 1, "blue")
+		same.DeadlineS = 30
+		w.submit(same)
+		time.Sleep(40 * time.Second)
+		if st := w.poll("", "job-2"); st != protocol.StatusQueued {
+			t.Errorf("work of the same urgency is %q", st)
+		}
+		high := spec("job-3", 1, "blue")
+		high.Urgency, high.DeadlineS = protocol.High, 30
+		w.submit(high)
+		time.Sleep(40 * time.Second)
+		if st := w.poll("", "job-3"); st != protocol.StatusDone {
+			t.Errorf("urgent work is %q", st)
+		}
+		w.withdraw("job-1")
+		w.finish(2 * time.Minute)
+	})
+}
+
+// Slow machines are found by comparison with their like; an estimate that is
+// wrong for the whole job must raise no alarm.
+func TestSlowMachineIsSetAside(t *testing.T) {
+	for _, slow := range []bool{true, false} {
+		t.Run(fmt.Sprint("slow ", slow), func(t *testing.T) {
+			simulate(t, 18, func(w *world) {
+				time.Sleep(2 * time.Second)
+				w.runTime = func(_ string, _ int, machine string) time.Duration {
+					if slow && machine == "m-000000" {
+						return 60 * time.Second
+					}
+					return 12 * time.Second // twice the estimate
+				}
+				for i := range 4 {
+					s := spec(fmt.Sprintf("job-%d", i), 16, "green")
+					s.DeadlineS = 600
+					w.submit(s)
+				}
+				aside := map[string]bool{}
+				for range 300 {
+					time.Sleep(time.Second)
+					for _, n := range w.nodes {
+						n.ctl.do(func() {
+							for _, m := range n.ctl.machines {
+								if m.faulty {
+									aside[m.name] = true
+								}
+							}
+						})
+					}
+				}
+				if len(aside) > 1 || aside["m-000000"] != slow {
+					t.Errorf("set aside: %v", aside)
+				}
+				w.finish(5 * time.Minute)
+			})
+		})
+	}
+}
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -40,6 +40,7 @@
 	// unanswered says that a start was sent and nobody knows whether it
 	// arrived: it may still, so the attempt must not be reaped under this token.
 	unanswered bool
+	slow       bool // took far longer than its like elsewhere
 	stopping   bool
 	stopGrace  float64
 	stopAt     time.Time
@@ -80,6 +81,7 @@
 	chunks    map[int]*chunk
 	failures  int
 	failedOn  map[string]bool
+	ranS      map[string][]float64 // run times of done tasks, by machine
 	holdTill  time.Time
 	running   int
 }
@@ -129,28 +131,30 @@
 	version uint64
 	typ     *protocol.MachineType
 
-	heard      bool   // has reported to us at all
-	session    uint64 // newest seen
-	sequence   uint64
-	fenced     bool // a report under our token has come
-	lastHeard  time.Time
-	answeredBy time.Time // last moment at which anybody may have answered a report
-	lost       bool
-	notice     time.Time // when the cloud takes it away; zero if not announced
-	retiring   time.Time
-	moving     bool
-	faulty     bool
-	avoidTill  time.Time
-	errorJobs  map[string]bool
-	idleSince  time.Time
-	recordedAt time.Time
-	wantBump   bool
-	sending    bool
-	again      bool
-	lastOrders time.Time
-	attempts   map[string]*attempt // by wire name and number
-	foreign    map[string]protocol.TaskReport
-	images     map[string]time.Time
+	heard        bool   // has reported to us at all
+	session      uint64 // newest seen
+	sequence     uint64
+	fenced       bool // a report under our token has come
+	lastHeard    time.Time
+	answeredBy   time.Time // last moment at which anybody may have answered a report
+	lost         bool
+	notice       time.Time // when the cloud takes it away; zero if not announced
+	strayedSince time.Time // since when its worker visits others and not us
+	retiring     time.Time
+	moving       bool
+	faulty       bool
+	avoidTill    time.Time
+	errorJobs    map[string]bool
+	slowTasks    int // tasks that took far longer than their like elsewhere
+	idleSince    time.Time
+	recordedAt   time.Time
+	wantBump     bool
+	sending      bool
+	again        bool
+	lastOrders   time.Time
+	attempts     map[string]*attempt // by wire name and number
+	foreign      map[string]protocol.TaskReport
+	images       map[string]time.Time
 
 	usedCPUs, usedGPUs, usedMem float64
 }
@@ -212,6 +216,8 @@
 	claimed time.Time
 	kick    chan struct{}
 	usage   []quota // by team
+	// preempted is when work was last considered for stopping.
+	preempted time.Time
 }
 
 // quota counts what a team's live attempts use.
--- /dev/null
+++ b/internal/coordination/preempt.go
@@ -0,0 +1,149 @@
+package coordination
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// lastMoment is how close to being late a job must be before running work
+	// is stopped for it: stopping wastes work, and room may still come free.
+	lastMoment = 8 * time.Second
+	// urgentPatience is how long jobs without a deadline, and jobs within their
+	// team's guarantee, wait before running work is stopped for them.
+	urgentPatience = 15 * time.Second
+	preemptEvery   = time.Second
+	preemptMost    = 8
+)
+
+// preempt stops running work for jobs that must start now and find no room.
+// Only two kinds of work may be stopped: that of lower urgency, and what
+// another team runs beyond its own guarantee while the job is within its
+// team's.
+func (c *Controller) preempt(p *part, now time.Time) {
+	if now.Sub(p.preempted) < preemptEvery {
+		return
+	}
+	p.preempted = now
+	var machines []*machine
+	for _, m := range c.machines {
+		if m.rec.Part == p.index && c.usable(m, now) {
+			machines = append(machines, m)
+		}
+	}
+	slices.SortFunc(machines, func(a, b *machine) int { return cmp.Compare(a.name, b.name) })
+	promised := map[*machine]bool{}
+	stopped := 0
+	for _, j := range c.inOrder(p) {
+		if len(j.queue) == 0 || j.withdrawn || now.Before(j.holdTill) || !c.mustStart(j, now) {
+			continue
+		}
+		guaranteed := c.withinGuarantee(p, j)
+		for range j.queue {
+			if stopped >= preemptMost || !c.withinLimit(p, j) {
+				break
+			}
+			m, victims := c.victims(p, j, machines, promised, guaranteed, now)
+			if m == nil {
+				break
+			}
+			promised[m] = true
+			for _, a := range victims {
+				c.log.Info("preempting", "task", a.wire(), "machine", m.name, "for", j.spec.ID)
+				c.stopAttempt(a, a.job.spec.SaveS+1, now)
+				stopped++
+			}
+		}
+	}
+}
+
+// mustStart says whether a job can't wait any longer.
+func (c *Controller) mustStart(j *job, now time.Time) bool {
+	waited := now.Sub(j.received)
+	if j.spec.DeadlineS <= 0 {
+		return waited > urgentPatience
+	}
+	spare := j.due().Sub(now) - time.Duration(c.estimate(j.spec)*float64(time.Second))
+	return spare >= 0 && spare < lastMoment
+}
+
+// withinGuarantee says whether one more task keeps the team in its guarantee.
+func (c *Controller) withinGuarantee(p *part, j *job) bool {
+	t, u := c.set.Params.Teams[j.team], p.usage[j.team]
+	return (t.CPUs > 0 || t.GPUs > 0) && u.cpus+j.spec.CPUs <= t.CPUs+epsilon &&
+		(j.spec.GPUs == 0 || u.gpus+j.spec.GPUs <= t.GPUs+epsilon)
+}
+
+// mayPreempt is PROTOCOL's rule of who may be stopped for whom.
+func (c *Controller) mayPreempt(p *part, j *job, guaranteed bool, victim *job) bool {
+	if victim.spec.Urgency < j.spec.Urgency {
+		return true
+	}
+	t, u := c.set.Params.Teams[victim.team], p.usage[victim.team]
+	beyond := u.cpus > t.CPUs+epsilon || u.gpus > t.GPUs+epsilon
+	return guaranteed && victim.team != j.team && beyond
+}
+
+// victims finds the machine where room for one task of j costs least, and
+// what to stop there. A machine where work is stopping already serves as it is.
+func (c *Controller) victims(p *part, j *job, machines []*machine, promised map[*machine]bool, guaranteed bool, now time.Time) (*machine, []*attempt) {
+	var best *machine
+	var chosen []*attempt
+	least := 0.0
+	for _, m := range machines {
+		if promised[m] || m.typ == nil || !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !c.zoneOpen(j, m.rec.Zone) || j.failedOn[m.name] {
+			continue
+		}
+		cpus, gpus, mem := m.typ.CPUs-m.usedCPUs, m.typ.GPUs-m.usedGPUs, m.typ.MemGB-m.usedMem
+		fits := func() bool {
+			return j.spec.CPUs <= cpus+epsilon && j.spec.GPUs <= gpus+epsilon && j.spec.MemGB <= mem+epsilon
+		}
+		free := func(a *attempt) {
+			s := a.job.spec
+			cpus, gpus, mem = cpus+s.CPUs, gpus+s.GPUs, mem+s.MemGB
+		}
+		var candidates []*attempt
+		for _, a := range m.sorted() {
+			switch {
+			case a.live() && a.stopping:
+				free(a)
+			case a.live() && c.mayPreempt(p, j, guaranteed, a.job):
+				candidates = append(candidates, a)
+			}
+		}
+		slices.SortStableFunc(candidates, func(a, b *attempt) int { return cmp.Compare(c.loss(a, now), c.loss(b, now)) })
+		var stop []*attempt
+		cost := 0.0
+		for _, a := range candidates {
+			if fits() {
+				break
+			}
+			free(a)
+			stop = append(stop, a)
+			cost += c.loss(a, now)
+		}
+		// Throwing away more work than the newcomer brings helps nobody.
+		if !j.spec.Standing && cost > c.estimate(j.spec)*max(j.spec.CPUs, 1) {
+			continue
+		}
+		if fits() && (best == nil || cost < least) {
+			best, chosen, least = m, stop, cost
+		}
+	}
+	return best, chosen
+}
+
+// loss is what stopping an attempt throws away, in CPU seconds. A service
+// loses nothing: what its replicas have run has been of use.
+func (c *Controller) loss(a *attempt, now time.Time) float64 {
+	s := a.job.spec
+	lost := 0.0
+	if !a.startedAt.IsZero() && !s.Standing {
+		lost = now.Sub(a.startedAt).Seconds()
+	}
+	if s.CheckpointS > 0 {
+		lost = min(lost, s.SaveS)
+	}
+	return lost * max(s.CPUs, 1)
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -122,6 +122,7 @@
 		return nil
 	}
 	c.place(p, now)
+	c.preempt(p, now)
 	b := &batch{}
 	b.txn.If = append(b.txn.If, protocol.Condition{Key: bookkeeping.ClaimKey(p.index), Version: p.version})
 	ops := c.store.TxnOps
@@ -524,6 +525,42 @@
 	return max(c.estimate(a.job.spec)-elapsed, c.reportS.Seconds())
 }
 
+const (
+	slowFactor = 3 // how much longer than its like a task takes on a slow machine
+	slowMost   = 2 // so many such tasks, and the machine is set aside
+	slowLike   = 3 // so many tasks of the job must be done elsewhere, to compare
+)
+
+// compare judges a machine by a task's run time against those of the same
+// job on other machines: their estimates share one error, so the estimate says
+// nothing. A false alarm costs little, since work that runs goes on; only no
+// new work comes, and the machine is returned once idle.
+func (c *Controller) compare(a *attempt, ran float64) {
+	if a.slow {
+		return
+	}
+	var sum float64
+	n := 0
+	for name, times := range a.job.ranS {
+		if name != a.machine.name {
+			for _, t := range times {
+				sum += t
+				n++
+			}
+		}
+	}
+	if n < slowLike || ran < slowFactor*sum/float64(n) {
+		return
+	}
+	a.slow = true
+	m := a.machine
+	m.slowTasks++
+	if m.slowTasks >= slowMost && !m.faulty {
+		m.faulty = true
+		c.log.Info("machine set aside", "machine", m.name, "reason", "tasks take far longer than elsewhere")
+	}
+}
+
 // classBias is how run times of a class compare with their estimates.
 type classBias struct {
 	ratio float64
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -130,6 +130,7 @@
 				a.job.running++
 			}
 			m.images[a.job.spec.Image] = now
+			c.compare(a, now.Sub(a.startedAt).Seconds())
 		case protocol.TaskEnded:
 			c.attemptEnded(a, t, now)
 		}
@@ -189,7 +190,13 @@
 			return
 		}
 		if !a.startedAt.IsZero() {
-			c.learn(j.spec.Class, now.Sub(a.startedAt).Seconds(), j.spec.EstimateS)
+			ran := now.Sub(a.startedAt).Seconds()
+			c.learn(j.spec.Class, ran, j.spec.EstimateS)
+			c.compare(a, ran)
+			if !a.slow {
+				m.slowTasks = 0
+			}
+			j.ranS[m.name] = append(j.ranS[m.name], ran)
 		}
 		j.failures = 0
 		clear(m.errorJobs)
