A call into the controller never runs after its caller went on

Cause: do returned when the context ended while its call was still queued, and the context was set only by Run although requests may come before (race detector). Now do waits for the loop's end, and New takes the context.

--- a/cmd/micaspindle/main.go
+++ b/cmd/micaspindle/main.go
@@ -93,7 +93,7 @@
 
 func serve(ctx context.Context, set *settings.Settings, op settings.Operator, log *slog.Logger) error {
 	client := transport.NewClient()
-	ctl := coordination.New(set, op, client, log)
+	ctl := coordination.New(ctx, set, op, client, log)
 	sockets := set.Params.MachineLimits.Sockets
 	listeners := []*transport.Listener{
 		{Addr: set.ServeOn, Handler: ctl.Serve, MaxBody: 64 << 10, MaxConns: max(8, sockets*3/4)},
@@ -103,7 +103,7 @@
 		client.Attach(e)
 		log.Info("serving", "label", set.Label, "zone", set.Zone, "addr", set.ServeOn)
 		go client.SweepUntil(ctx)
-		ctl.Run(ctx)
+		ctl.Run()
 	})
 	if err != nil {
 		return fmt.Errorf("serve: %w", err)
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -30,8 +30,10 @@
 	log         *slog.Logger
 	nonce       string
 	calls       chan func()
-	ctx         context.Context
-	duty        sync.WaitGroup
+	// loopDone is closed when the loop has ended.
+	loopDone chan struct{}
+	ctx      context.Context
+	duty     sync.WaitGroup
 
 	// Derived from the settings once.
 	teamIndex map[string]int
@@ -76,15 +78,16 @@
 // drift is by how much steady clocks may differ, with room to spare.
 const drift = 1.001
 
-// New makes a controller; Run starts it.
-func New(set *settings.Settings, op settings.Operator, net bookkeeping.Doer, log *slog.Logger) *Controller {
+// New makes a controller that lives until ctx ends; Run starts its duties, but
+// requests may come before.
+func New(ctx context.Context, set *settings.Settings, op settings.Operator, net bookkeeping.Doer, log *slog.Logger) *Controller {
 	p := set.Params
 	c := &Controller{
-		set: set, op: op, net: net, log: log,
+		ctx: ctx, started: time.Now(), set: set, op: op, net: net, log: log,
 		store:       bookkeeping.NewStore(net, set.Services.State, p.State, p.Count),
 		nonce:       rand.Text(),
 		cloudBudget: rate.NewLimiter(rate.Limit(p.Cloud.RPS*0.8), 2),
-		calls:       make(chan func(), 256),
+		calls:       make(chan func(), 256), loopDone: make(chan struct{}),
 
 		teamIndex: map[string]int{}, teamPart: teamParts(p.Teams, p.Count),
 		leaseS: settings.Seconds(p.Workers.LeaseS), cancelS: settings.Seconds(p.Workers.CancelS),
@@ -112,14 +115,12 @@
 	return c
 }
 
-// Run serves until ctx ends, and returns when every duty has ended.
-func (c *Controller) Run(ctx context.Context) {
-	c.ctx = ctx
-	c.started = time.Now()
-	loopDone := make(chan struct{})
+// Run serves until the controller's context ends, and returns when every duty
+// has ended.
+func (c *Controller) Run() {
 	loopCtx, stopLoop := context.WithCancel(context.Background())
 	go func() {
-		defer close(loopDone)
+		defer close(c.loopDone)
 		c.loop(loopCtx)
 	}()
 	c.duty.Go(c.watchDuty)
@@ -135,7 +136,7 @@
 	// The loop outlives the duties, since they end through it.
 	c.duty.Wait()
 	stopLoop()
-	<-loopDone
+	<-c.loopDone
 }
 
 const tickEvery = 250 * time.Millisecond
@@ -155,19 +156,26 @@
 	}
 }
 
-// do runs fn in the loop and waits for it. It reports whether fn ran.
+// do runs fn in the loop and waits for it. It reports whether fn ran. What fn
+// touches may be used afterwards: once do has returned, fn never runs.
 func (c *Controller) do(fn func()) bool {
 	done := make(chan struct{})
 	select {
 	case c.calls <- func() { fn(); close(done) }:
-	case <-c.ctx.Done():
+	case <-c.loopDone:
 		return false
 	}
 	select {
 	case <-done:
 		return true
-	case <-c.ctx.Done():
-		return false
+	case <-c.loopDone:
+		// The last call may have ended together with the loop.
+		select {
+		case <-done:
+			return true
+		default:
+			return false
+		}
 	}
 }
 
