--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -343,7 +343,7 @@
 				continue
 			}
 			a := &attempt{job: j, task: r.Task, number: r.Number, machine: m, session: r.Session,
-				state: attemptCommitted, committed: now}
+				state: attemptCommitted, committed: now, inherited: true}
 			j.live[r.Task] = a
 			m.attempts[attemptKey(a.wire(), a.number)] = a
 			p.usage[j.team].add(j.spec, 1)
@@ -370,7 +370,7 @@
 			m.resources()
 			// The former owner may go on answering this long (8, 12).
 			m.answeredBy = now.Add(c.answerBound())
-			m.lastHeard = now
+			m.lastHeard, m.ownedSince = now, now
 			c.fence(m)
 		}
 	}
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -743,3 +744,83 @@
 		})
 	}
 }
+
+// After a takeover the new owner has heard none of its machines yet: they must
+// not be taken for machines that never came up, nor the rest of an inherited
+// task for its whole run time.
+func TestTakeoverKeepsMachinesAndEstimates(t *testing.T) {
+	simulate(t, 19, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		w.runTime = func(string, int, string) time.Duration { return 60 * time.Second }
+		w.mu.Unlock()
+		for i, team := range []string{"red", "blue", "green"} {
+			s := spec(fmt.Sprintf("job-%d", i), 6, team)
+			s.EstimateS, s.DeadlineS = 60, 200
+			w.submit(s)
+		}
+		time.Sleep(55 * time.Second) // longer than any boot may take
+		w.mu.Lock()
+		before := maps.Clone(w.cloud.machines)
+		w.mu.Unlock()
+		// The leader lives on and has known the machines for long.
+		var leader *node
+		for _, label := range []string{"n0", "n1", "n2"} {
+			w.mu.Lock()
+			n := w.nodes[label]
+			w.mu.Unlock()
+			n.ctl.do(func() {
+				if n.ctl.leader.mine {
+					leader = n
+				}
+			})
+		}
+		for _, label := range []string{"n0", "n1", "n2"} {
+			if label != leader.label {
+				w.kill(label)
+				w.start(label)
+			}
+		}
+		// Their workers don't reach the new owners for a moment.
+		w.mu.Lock()
+		w.cut = func(from, host string) bool {
+			return from != leader.label && strings.HasPrefix(host, "m-")
+		}
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		w.cut = nil
+		w.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		w.mu.Lock()
+		for name := range before {
+			if _, ok := w.cloud.machines[name]; !ok {
+				t.Errorf("%s was given up in the takeover", name)
+			}
+		}
+		w.mu.Unlock()
+		if len(before) == 0 {
+			t.Error("no machines before the takeover")
+		}
+		time.Sleep(8 * time.Second)
+		for _, label := range []string{"n0", "n1", "n2"} {
+			if label == leader.label {
+				continue
+			}
+			w.mu.Lock()
+			n := w.nodes[label].ctl
+			w.mu.Unlock()
+			n.do(func() {
+				for class, b := range n.bias {
+					t.Errorf("inherited tasks taught %s a ratio of %v", class, b.ratio)
+				}
+				for _, m := range n.machines {
+					if m.faulty {
+						t.Errorf("%s set aside", m.name)
+					}
+				}
+			})
+		}
+		w.finish(3 * time.Minute)
+	})
+}
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -379,7 +379,7 @@
 			reason = "faulty"
 		case listed && lm.State == protocol.MachineFailed:
 			reason = "failed"
-		case st != nil && !st.Heard && m.typ != nil && now.Sub(m.recordedAt) > c.bootLimit(m.typ)+5*time.Second:
+		case st != nil && st.NeverUp:
 			reason = "never came up"
 		}
 		if reason == "" || now.Sub(c.leader.deleting[name]) < 5*time.Second {
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -41,9 +41,11 @@
 	// arrived: it may still, so the attempt must not be reaped under this token.
 	unanswered bool
 	slow       bool // took far longer than its like elsewhere
-	stopping   bool
-	stopGrace  float64
-	stopAt     time.Time
+	// inherited attempts began under a former owner, nobody here knows when.
+	inherited bool
+	stopping  bool
+	stopGrace float64
+	stopAt    time.Time
 }
 
 func (a *attempt) wire() string { return protocol.TaskName(a.job.spec.ID, a.task) }
@@ -148,6 +150,7 @@
 	slowTasks    int // tasks that took far longer than their like elsewhere
 	idleSince    time.Time
 	recordedAt   time.Time
+	ownedSince   time.Time // since when its owner could have heard it
 	wantBump     bool
 	sending      bool
 	again        bool
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -122,7 +122,8 @@
 		}
 		idle := len(m.attempts) == 0 && len(m.foreign) == 0 && m.fenced && !m.sending
 		st := &peer.MachineStatus{Name: m.name, Heard: m.heard, Idle: idle, Lost: m.lost, Retiring: !m.retiring.IsZero(),
-			Faulty: m.faulty, Addr: m.rec.Addr, Session: m.session}
+			Faulty: m.faulty, Addr: m.rec.Addr, Session: m.session,
+			NeverUp: !m.heard && len(m.attempts) == 0 && m.typ != nil && now.Sub(m.ownedSince) > c.bootLimit(m.typ)+5*time.Second}
 		if m.typ != nil {
 			st.FreeCpus, st.FreeGpus, st.FreeMemGb = m.typ.CPUs-m.usedCPUs, m.typ.GPUs-m.usedGPUs, m.typ.MemGB-m.usedMem
 		}
@@ -133,7 +134,7 @@
 		// A machine that still boots, or was just moved here, will take some
 		// of what waits.
 		if m.typ != nil && !m.lost && !m.faulty && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
-			now.Sub(m.recordedAt) < c.bootLimit(m.typ) {
+			now.Sub(m.ownedSince) < c.bootLimit(m.typ) {
 			coming = append(coming, m)
 			left[m] = &room{st.FreeCpus, st.FreeGpus, st.FreeMemGb}
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -189,7 +189,7 @@
 			j.requeue(a.task)
 			return
 		}
-		if !a.startedAt.IsZero() {
+		if !a.startedAt.IsZero() && !a.inherited {
 			ran := now.Sub(a.startedAt).Seconds()
 			c.learn(j.spec.Class, ran, j.spec.EstimateS)
 			c.compare(a, ran)
@@ -465,7 +465,7 @@
 	delete(c.unknown, name)
 	if m == nil {
 		m = &machine{name: name, attempts: map[string]*attempt{}, foreign: map[string]protocol.TaskReport{},
-			errorJobs: map[string]bool{}, images: map[string]time.Time{}, recordedAt: now, lastHeard: now}
+			errorJobs: map[string]bool{}, images: map[string]time.Time{}, recordedAt: now, ownedSince: now, lastHeard: now}
 		c.machines[name] = m
 	} else if version <= m.version {
 		return
@@ -477,7 +477,7 @@
 	if moved {
 		m.rec = rec
 		m.reset()
-		m.answeredBy = now.Add(c.answerBound())
+		m.answeredBy, m.ownedSince = now.Add(c.answerBound()), now
 	}
 	m.rec, m.version, m.typ = rec, version, c.types[rec.Type]
 	m.moving, m.fenced, m.wantBump = false, false, false
