Attempts of sessions that ended before a takeover are over

Its record held an attempt of session 1, while the new owner already knew session 2 of that machine, so no change of session freed the task. Ruled out: leaked quota and lost moves, by reading the log. A test holds the case.

--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"maps"
 	"strings"
 	"testing"
 	"time"
 
+	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/settings"
 )
@@ -824,3 +826,28 @@
 		w.finish(3 * time.Minute)
 	})
 }
+
+// An attempt of a session that had ended before the takeover must not hold its
+// task for ever, even if the new owner knew the later session already.
+func TestInheritedAttemptOfAnEndedSessionIsOver(t *testing.T) {
+	set := newWorld(t, 1).set
+	set.Label = "n0"
+	c := New(t.Context(), &set, settings.DefaultOperator(), nil, slog.New(slog.DiscardHandler))
+	p := c.parts[0]
+	p.mine, p.ready, p.version = true, true, 5
+	now := time.Now()
+	c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a"}, 3, now)
+	m := c.machines["m-1"]
+	m.session, m.heard = 2, true
+	j := &job{spec: spec("job-1", 1, "red")}
+	j.own()
+	j.queue = nil
+	c.jobs["job-1"] = j
+	a := &attempt{job: j, number: 1, machine: m, session: 1, state: attemptCommitted, inherited: true}
+	j.live[0] = a
+	m.attempts[attemptKey(a.wire(), 1)] = a
+	c.observe(m, &protocol.Report{Machine: "m-1", Session: 2, Sequence: 9, Token: 5}, now)
+	if len(j.live) != 0 || len(j.queue) != 1 {
+		t.Errorf("live %v, queue %v", j.live, j.queue)
+	}
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -72,13 +72,15 @@
 		if m.session != 0 {
 			c.log.Info("worker's session ended", "machine", m.name, "session", r.Session)
 		}
-		for _, a := range m.sorted() {
-			if a.session < r.Session {
-				c.attemptGone(a, "session ended", now)
-			}
-		}
 		clear(m.foreign)
 	}
+	// Not only when the session changes: records read at a takeover may hold
+	// attempts of sessions that ended before.
+	for _, a := range m.sorted() {
+		if a.session < r.Session {
+			c.attemptGone(a, "session ended", now)
+		}
+	}
 	m.session, m.sequence = r.Session, r.Sequence
 	if r.NoticeS != nil {
 		if m.notice.IsZero() {
