--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -294,6 +294,13 @@
 			c.applyEvent(protocol.Event{Delete: key, Version: revision})
 		}
 	}
+	for _, p := range c.parts {
+		// A part that was never seen claimed is an orphan from now on, so that
+		// its preferred owner has the time to start.
+		if p.version == 0 && p.orphan.IsZero() {
+			p.orphan = now
+		}
+	}
 	if !claims[bookkeeping.LeaderKey] {
 		c.applyEvent(protocol.Event{Delete: bookkeeping.LeaderKey, Version: revision})
 	}
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -851,3 +851,27 @@
 		t.Errorf("live %v, queue %v", j.live, j.queue)
 	}
 }
+
+// Controllers that start together must each get their part, instead of the
+// first one taking all and doing all the work.
+func TestPartsAreSplitAtTheStart(t *testing.T) {
+	simulate(t, 20, func(w *world) {
+		time.Sleep(4 * time.Second)
+		for _, label := range []string{"n0", "n1", "n2"} {
+			w.mu.Lock()
+			n := w.nodes[label].ctl
+			w.mu.Unlock()
+			owned := 0
+			n.do(func() {
+				for _, p := range n.parts {
+					if p.mine {
+						owned++
+					}
+				}
+			})
+			if owned != 1 {
+				t.Errorf("%s owns %d parts", label, owned)
+			}
+		}
+	})
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -94,6 +94,7 @@
 	}
 	if !m.fenced {
 		m.fenced = true
+		p.wake()
 		c.log.Debug("machine fenced", "machine", m.name, "token", r.Token)
 	}
 	c.reconcile(m, r, now)
@@ -103,7 +104,6 @@
 	if len(m.attempts) > 0 || len(m.foreign) > 0 {
 		m.idleSince = now
 	}
-	p.wake()
 }
 
 // reconcile compares a report under our token with our attempts.
