Gangs: all tasks start together, under one attempt number

Ruled out: room, by logging the placement. Parts wait longer for their preferred owner at the start, since a test caught the first one taking two.

--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -112,8 +112,8 @@
 		}
 	}
 	pause := time.Duration(held) * 400 * time.Millisecond
-	if now.Sub(c.started) < 4*time.Second {
-		pause += time.Second
+	if now.Sub(c.started) < 5*time.Second {
+		pause += 2500 * time.Millisecond
 	}
 	return now.Sub(p.orphan) >= pause
 }
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -875,3 +875,63 @@
 		}
 	})
 }
+
+// A gang starts together or not at all, and starts again together.
+func TestGangStartsTogether(t *testing.T) {
+	simulate(t, 21, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		w.cloud.capacity = 3 // room for six tasks of 4 CPUs on small machines
+		w.cloud.types = w.cloud.types[:1]
+		w.runTime = func(string, int, string) time.Duration { return 10 * time.Second }
+		w.mu.Unlock()
+		g := spec("job-1", 5, "blue")
+		g.Gang = true
+		w.submit(g)
+		most := 0
+		for range 400 {
+			time.Sleep(100 * time.Millisecond)
+			w.mu.Lock()
+			n := 0
+			for _, wk := range w.workers {
+				n += len(wk.tasks)
+			}
+			w.mu.Unlock()
+			if n > 0 && n < 5 && most < 5 {
+				time.Sleep(50 * time.Millisecond) // its orders go to several machines
+				w.mu.Lock()
+				n = 0
+				for _, wk := range w.workers {
+					n += len(wk.tasks)
+				}
+				w.mu.Unlock()
+				if n < 5 {
+					t.Fatalf("%d of 5 tasks were started", n)
+				}
+			}
+			most = max(most, n)
+			// Workers know a gang's tasks by their common attempt number.
+			numbers := map[uint64]bool{}
+			w.mu.Lock()
+			for _, wk := range w.workers {
+				for _, task := range wk.tasks {
+					numbers[task.number] = true
+				}
+			}
+			w.mu.Unlock()
+			if len(numbers) > 1 {
+				t.Fatalf("attempt numbers %v", numbers)
+			}
+		}
+		w.finish(2 * time.Minute)
+		big := spec("job-2", 9, "green") // more than there is room for
+		big.Gang = true
+		w.submit(big)
+		time.Sleep(time.Minute)
+		if st := w.poll("", "job-2"); st != protocol.StatusQueued {
+			t.Errorf("a gang without room is %q", st)
+		}
+		w.withdraw("job-2")
+		w.finish(time.Minute)
+	})
+}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -36,7 +36,7 @@
 	promised := map[*machine]bool{}
 	stopped := 0
 	for _, j := range c.inOrder(p) {
-		if len(j.queue) == 0 || j.withdrawn || now.Before(j.holdTill) || !c.mustStart(j, now) {
+		if len(j.queue) == 0 || j.spec.Gang || j.withdrawn || now.Before(j.holdTill) || !c.mustStart(j, now) {
 			continue
 		}
 		guaranteed := c.withinGuarantee(p, j)
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -418,6 +418,10 @@
 		if len(j.queue) == 0 || j.withdrawn || c.finals[j.spec.ID] != "" || now.Before(j.holdTill) {
 			continue
 		}
+		if j.spec.Gang {
+			c.placeGang(p, j, free, now)
+			continue
+		}
 		placed := 0
 		for _, task := range j.queue {
 			if !c.withinLimit(p, j) {
@@ -428,16 +432,57 @@
 				break
 			}
 			placed++
-			c.reserve(p, j, task, m, now)
+			c.reserve(p, j, task, j.chunk(task).last+1, m, now)
 		}
 		j.queue = j.queue[placed:]
 	}
 }
 
-func (c *Controller) reserve(p *part, j *job, task int, m *machine, now time.Time) {
+// placeGang reserves room for all tasks of a gang, or for none: half a gang
+// would only wait for the rest on machines that are paid for.
+func (c *Controller) placeGang(p *part, j *job, free []*machine, now time.Time) {
+	if len(j.live) > 0 {
+		return // remnants of the last try are still on their machines
+	}
+	before := make(map[int]chunk, len(j.chunks))
+	// All share one attempt number, by which workers know their mates.
+	number := uint64(1)
+	for i, ch := range j.chunks {
+		before[i] = *ch
+		number = max(number, ch.last+1)
+	}
+	for _, task := range j.queue {
+		var m *machine
+		if c.withinLimit(p, j) {
+			m = c.choose(j, free, now)
+		}
+		if m != nil {
+			c.reserve(p, j, task, number, m, now)
+			continue
+		}
+		for _, a := range j.live {
+			delete(a.machine.attempts, attemptKey(a.wire(), a.number))
+			a.machine.resources()
+			p.usage[j.team].add(j.spec, -1)
+		}
+		clear(j.live)
+		for i, ch := range j.chunks {
+			old, existed := before[i]
+			if !existed {
+				delete(j.chunks, i)
+				continue
+			}
+			ch.dirty, ch.urgent, ch.last = old.dirty, old.urgent, old.last
+		}
+		return
+	}
+	j.queue = nil
+}
+
+func (c *Controller) reserve(p *part, j *job, task int, number uint64, m *machine, now time.Time) {
 	ch := j.chunk(task)
-	ch.last++
-	a := &attempt{job: j, task: task, number: ch.last, machine: m, session: m.session}
+	ch.last = max(ch.last, number)
+	a := &attempt{job: j, task: task, number: number, machine: m, session: m.session}
 	j.live[task] = a
 	m.attempts[attemptKey(a.wire(), a.number)] = a
 	p.usage[j.team].add(j.spec, 1)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -168,7 +168,7 @@
 	}
 	t := c.set.Params.Teams[team]
 	n := 1.0
-	if s.Standing {
+	if s.Standing || s.Gang {
 		n = float64(s.Tasks)
 	}
 	if t.CPUsMax > 0 && n*s.CPUs > t.CPUsMax+epsilon || t.GPUsMax > 0 && n*s.GPUs > t.GPUsMax+epsilon {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -265,10 +265,25 @@
 	}
 	p := c.parts[j.part]
 	p.usage[j.team].add(j.spec, -1)
+	if j.spec.Gang && a.cause != protocol.CauseDone {
+		// Without one, the others can't go on: all start again together.
+		for _, mate := range j.mates() {
+			c.stopAttempt(mate, j.spec.SaveS+1, now)
+		}
+	}
 	j.touch(a.task, false, now)
 	p.wake()
 }
 
+// mates lists the live attempts of a job.
+func (j *job) mates() []*attempt {
+	list := make([]*attempt, 0, len(j.live))
+	for _, a := range j.live {
+		list = append(list, a)
+	}
+	return list
+}
+
 func (j *job) requeue(task int) { j.queue = slices.Insert(j.queue, 0, task) }
 
 func (q *quota) add(s *protocol.JobSpec, sign float64) {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -783,6 +783,9 @@
 	if s.Standing {
 		shape = "standing"
 	}
+	if s.Gang {
+		shape = "gang"
+	}
 	m := map[string]any{"name_id": s.ID, "jobclass": s.Class, "owner": s.Team, "shape": shape, "urgency": urgencyNames[s.Urgency],
 		"pieces": s.Tasks, "vcpus": s.CPUs, "gpus": s.GPUs, "mem_gb": s.MemGB, "bundle": s.Image, "image_gb": s.ImageGB,
 		"same_place": s.OneZone, "apart": s.Spread, "loaners": s.Spot, "guess_s": s.EstimateS, "due_s": s.DeadlineS,
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -47,10 +47,12 @@
 
 // JobSpec is a checked submission; it is also what the job's record holds.
 type JobSpec struct {
-	ID          string   `msgpack:"id"`
-	Class       string   `msgpack:"cl"`
-	Team        string   `msgpack:"tm"`
-	Standing    bool     `msgpack:"st,omitempty"`
+	ID       string `msgpack:"id"`
+	Class    string `msgpack:"cl"`
+	Team     string `msgpack:"tm"`
+	Standing bool   `msgpack:"st,omitempty"`
+	// Gang tasks start together or not at all.
+	Gang        bool     `msgpack:"ga,omitempty"`
 	Urgency     Urgency  `msgpack:"ur"`
 	Tasks       int      `msgpack:"n"`
 	CPUs        float64  `msgpack:"c"`
@@ -155,6 +157,8 @@
 		return nil, fmt.Errorf("%w: shape is missing", ErrMalformed)
 	case *s.Shape == "standing":
 		j.Standing = true
+	case *s.Shape == "gang":
+		j.Gang = true
 	case *s.Shape != "batch":
 		return nil, fmt.Errorf("%w: shape is invalid", ErrMalformed)
 	}
