--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -17,10 +17,9 @@
 	claimPrefix   = "w/c/"
 	machinePrefix = "w/m/"
 	jobPrefix     = "w/j/"
-	catalogKey    = "w/catalog"
 	runPrefix     = "r/"
 	LeaderKey     = claimPrefix + "leader"
-	CatalogKey    = catalogKey
+	CatalogKey    = "w/catalog"
 )
 
 // Kind says what a watched key holds.
@@ -66,7 +65,7 @@
 	switch {
 	case key == LeaderKey:
 		return KindLeader, ""
-	case key == catalogKey:
+	case key == CatalogKey:
 		return KindCatalog, ""
 	case strings.HasPrefix(key, claimPrefix):
 		return KindClaim, key[len(claimPrefix):]
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -202,7 +202,7 @@
 func (c *Controller) checkClaims(now time.Time) {
 	silence := max(3*c.reportS, 4*time.Second)
 	for _, ps := range c.peers {
-		if ps.summary == nil || now.Sub(ps.heard) > 2*time.Second {
+		if !ps.recent(now) {
 			continue
 		}
 		for _, name := range ps.summary.Strayed {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -68,10 +68,14 @@
 type peerState struct {
 	addr    string
 	heard   time.Time
-	since   time.Time
 	summary *peer.Summary
 }
 
+// recent says whether what the controller last said still counts.
+func (ps *peerState) recent(now time.Time) bool {
+	return ps.summary != nil && now.Sub(ps.heard) <= 2*time.Second
+}
+
 // margin is added to every bound that must hold on another machine's clock.
 const margin = time.Second
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -236,7 +236,7 @@
 	}
 	fill(c.set.Label, c.summary(now), now)
 	for label, ps := range c.peers {
-		if ps.summary != nil && now.Sub(ps.heard) < 2*time.Second {
+		if ps.recent(now) {
 			fill(label, ps.summary, ps.heard)
 		}
 	}
@@ -268,7 +268,7 @@
 		take(u)
 	}
 	for _, ps := range c.peers {
-		if ps.summary != nil && now.Sub(ps.heard) < 2*time.Second {
+		if ps.recent(now) {
 			for _, u := range ps.summary.Unknown {
 				take(u)
 			}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -52,9 +52,6 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(ps.heard) > 2*time.Second {
-		ps.since = now
-	}
 	ps.heard, ps.summary = now, sum
 	// Addresses learnt by others let a new owner fence at once.
 	for _, part := range sum.Parts {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -67,7 +67,7 @@
 		silence := c.store.Silence()
 		if silence > 2500*time.Millisecond {
 			for _, ps := range c.peers {
-				if ps.summary != nil && time.Since(ps.heard) < 2*time.Second && ps.summary.StateSilenceS < 1.5 {
+				if ps.recent(time.Now()) && ps.summary.StateSilenceS < 1.5 {
 					return
 				}
 			}
