--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -13,6 +13,7 @@
 
 // rent asks the cloud for machines for what waits and finds no room.
 func (c *Controller) rent(views []*view, now time.Time) {
+	scarce := c.scarcity()
 	for _, v := range views {
 		if v == nil {
 			continue
@@ -27,7 +28,7 @@
 		wanted := map[offer]int{}
 		for _, d := range v.demands {
 			for d.Count > 0 {
-				o, n := c.cheapest(d, now)
+				o, n := c.cheapest(d, scarce, now)
 				if n == 0 {
 					break
 				}
@@ -47,10 +48,17 @@
 const spareSlack = 25.0
 
 // cheapest picks the offer that serves a demand at the least price for each of
-// its tasks, and how many of them it holds.
-func (c *Controller) cheapest(d *peer.Demand, now time.Time) (offer, int) {
+// its tasks, and how many of them it holds. Types that work of fewer choices
+// needs come last.
+func (c *Controller) cheapest(d *peer.Demand, scarce scarcity, now time.Time) (offer, int) {
 	var best offer
-	held, least := 0, math.Inf(1)
+	held, least, bestContested := 0, math.Inf(1), true
+	breadth := 0
+	for i := range c.catalog {
+		if t := &c.catalog[i]; howMany(d, t.CPUs, t.GPUs, t.MemGB) > 0 && (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) {
+			breadth++
+		}
+	}
 	for i := range c.catalog {
 		t := &c.catalog[i]
 		n := howMany(d, t.CPUs, t.GPUs, t.MemGB)
@@ -72,8 +80,10 @@
 				if spot {
 					price = t.SpotPrice
 				}
-				if cost := price / float64(n); cost < least-epsilon {
-					best, held, least = o, n, cost
+				contested := scarce.contested(t.Name, breadth)
+				cost := price / float64(n)
+				if contested != bestContested && !contested || contested == bestContested && cost < least-epsilon {
+					best, held, least, bestContested = o, n, cost, contested
 				}
 			}
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -356,8 +357,8 @@
 	if d <= 0 || len(j.queue) == 0 {
 		return 0
 	}
-	switch end := now.Sub(j.received).Seconds() + c.estimate(j.spec); {
-	case end <= d || end > 5*d:
+	switch end := now.Sub(j.received).Seconds() + c.estimate(j.spec)*c.rounds(j); {
+	case end <= d || now.Sub(j.received).Seconds() > 5*d:
 		return 0
 	case end <= 1.5*d:
 		return 1
@@ -365,6 +366,16 @@
 	return 2
 }
 
+// rounds is how many run times the waiting tasks of a job take one after the
+// other, since its team's limit lets only so many run at once.
+func (c *Controller) rounds(j *job) float64 {
+	t := c.set.Params.Teams[j.team]
+	if t.CPUsMax <= 0 || j.spec.CPUs <= 0 {
+		return 1
+	}
+	return math.Ceil(float64(len(j.queue)) / math.Max(1, math.Floor((t.CPUsMax+epsilon)/j.spec.CPUs)))
+}
+
 // due is when a job should be done; one without a deadline queues as if it
 // had a long one.
 func (j *job) due() time.Time {
@@ -414,12 +425,13 @@
 	if len(free) == 0 {
 		return
 	}
+	scarce := c.scarcity()
 	for _, j := range c.inOrder(p) {
 		if len(j.queue) == 0 || j.withdrawn || c.finals[j.spec.ID] != "" || now.Before(j.holdTill) {
 			continue
 		}
 		if j.spec.Gang {
-			c.placeGang(p, j, free, now)
+			c.placeGang(p, j, free, scarce, now)
 			continue
 		}
 		placed := 0
@@ -427,7 +439,7 @@
 			if !c.withinLimit(p, j) {
 				break
 			}
-			m := c.choose(j, free, now)
+			m := c.choose(j, free, scarce, now)
 			if m == nil {
 				break
 			}
@@ -440,7 +452,7 @@
 
 // placeGang reserves room for all tasks of a gang, or for none: half a gang
 // would only wait for the rest on machines that are paid for.
-func (c *Controller) placeGang(p *part, j *job, free []*machine, now time.Time) {
+func (c *Controller) placeGang(p *part, j *job, free []*machine, scarce scarcity, now time.Time) {
 	if len(j.live) > 0 {
 		return // remnants of the last try are still on their machines
 	}
@@ -454,7 +466,7 @@
 	for _, task := range j.queue {
 		var m *machine
 		if c.withinLimit(p, j) {
-			m = c.choose(j, free, now)
+			m = c.choose(j, free, scarce, now)
 		}
 		if m != nil {
 			c.reserve(p, j, task, number, m, now)
@@ -494,7 +506,7 @@
 // choose picks the machine of least contention among those that fit. The order
 // of the candidates breaks ties: an image at hand first, then the fuller one,
 // so that idle machines can be returned.
-func (c *Controller) choose(j *job, machines []*machine, now time.Time) *machine {
+func (c *Controller) choose(j *job, machines []*machine, scarce scarcity, now time.Time) *machine {
 	var fit []*machine
 	for _, m := range machines {
 		if m.fits(j.spec) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
@@ -505,14 +517,21 @@
 	if len(fit) == 0 {
 		return nil
 	}
-	// The dearer ordinary machines are left alone while a spot one has room, so
-	// that they empty and can be returned (the exception in docs/design.md).
-	if spot := slices.DeleteFunc(slices.Clone(fit), func(m *machine) bool { return !m.rec.Spot }); len(spot) > 0 {
-		fit = spot
-	}
+	// Two exceptions of docs/design.md. Types that waiting work of fewer choices
+	// needs are left to it while another has room; and the dearer ordinary
+	// machines are left alone while a spot one has room, so that they empty and
+	// can be returned.
+	breadth := c.breadth(j.spec)
+	fit = prefer(fit, func(m *machine) bool { return !scarce.contested(m.rec.Type, breadth) })
+	fit = prefer(fit, func(m *machine) bool { return m.rec.Spot })
+	// A third one: where fetching the image would take a good part of the run,
+	// machines that have it go first, since fetches at a time share their rate.
+	long := longFetch * c.estimate(j.spec)
+	fit = prefer(fit, func(m *machine) bool {
+		return m.hasImage(j.spec.Image) || j.spec.ImageGB <= long*m.typ.FetchGBPerS
+	})
 	slices.SortFunc(fit, func(a, b *machine) int {
-		_, ai := a.images[j.spec.Image]
-		_, bi := b.images[j.spec.Image]
+		ai, bi := a.hasImage(j.spec.Image), b.hasImage(j.spec.Image)
 		switch {
 		case ai != bi && ai:
 			return -1
@@ -535,6 +554,70 @@
 	return fit[i]
 }
 
+// longFetch is the share of a run from which on fetching its image counts as
+// long.
+const longFetch = 0.15
+
+// hasImage says whether a machine has an image or is fetching it already.
+func (m *machine) hasImage(image string) bool {
+	if _, ok := m.images[image]; ok {
+		return true
+	}
+	for _, a := range m.attempts {
+		if a.live() && a.job.spec.Image == image {
+			return true
+		}
+	}
+	return false
+}
+
+// prefer keeps the machines that meet a wish, or all if none does.
+func prefer(list []*machine, wish func(*machine) bool) []*machine {
+	if kept := slices.DeleteFunc(slices.Clone(list), func(m *machine) bool { return !wish(m) }); len(kept) > 0 {
+		return kept
+	}
+	return list
+}
+
+// scarcity holds, for each machine type, how few types the choosiest
+// unfinished work that fits it can run on.
+type scarcity map[string]int
+
+// contested says that work with fewer choices than breadth needs the type.
+func (s scarcity) contested(typ string, breadth int) bool {
+	least, needed := s[typ]
+	return needed && least < breadth
+}
+
+// scarcity looks over all unfinished jobs, those of other parts too: machines
+// move between parts.
+func (c *Controller) scarcity() scarcity {
+	s := scarcity{}
+	for id, j := range c.jobs {
+		if j.withdrawn || c.finals[id] != "" || j.owned && len(j.queue) == 0 {
+			continue
+		}
+		n := c.breadth(j.spec)
+		for i := range c.catalog {
+			if t := &c.catalog[i]; typeFits(j.spec, t) && (s[t.Name] == 0 || n < s[t.Name]) {
+				s[t.Name] = n
+			}
+		}
+	}
+	return s
+}
+
+// breadth is on how many machine types a task could run.
+func (c *Controller) breadth(s *protocol.JobSpec) int {
+	n := 0
+	for i := range c.catalog {
+		if typeFits(s, &c.catalog[i]) {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Controller) horizon() procon.Horizon {
 	return procon.Horizon{MaxS: 3600, OverdueS: c.reportS.Seconds()}
 }
