--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -53,6 +53,7 @@
 	// records bounds the writes of owners, so that submissions always find
 	// some budget left.
 	records  *rate.Limiter
+	budget   budget
 	lastOK   atomic.Int64
 	lastFail atomic.Int64
 	start    time.Time
@@ -71,18 +72,21 @@
 
 // NewStore makes a client for one of count controllers.
 func NewStore(net Doer, addr string, limits settings.State, count int) *Store {
-	share := 1.2 / float64(count)
 	limiter := func(perSecond float64, burst int) *rate.Limiter {
 		return rate.NewLimiter(rate.Limit(perSecond), max(burst, limits.TxnOps))
 	}
-	return &Store{
+	share := 1.2 / float64(count)
+	s := &Store{
 		net: net, addr: addr, start: time.Now(),
 		requests:   limiter(limits.RPS*share, int(limits.RPS*share/2)),
-		writes:     limiter(limits.WriteRPS*share, int(limits.WriteRPS*share)),
-		records:    limiter(limits.WriteRPS*share*0.8, int(limits.WriteRPS*share)),
+		writes:     limiter(0, int(limits.WriteRPS*share)),
+		records:    limiter(0, int(limits.WriteRPS*share)),
+		budget:     budget{limit: limits.WriteRPS, controllers: float64(count)},
 		TxnOps:     limits.TxnOps,
 		ValueBytes: int(limits.ValueKB * 1024),
 	}
+	s.ShareWrites(1, float64(count))
+	return s
 }
 
 // Silence is how long ago the service last answered a request properly.
@@ -142,6 +146,7 @@
 func (s *Store) admitUser(ctx context.Context, writes int) error {
 	wait, err := forUser(s.requests, 1)
 	if err == nil && writes > 0 {
+		s.budget.wanted.Add(int64(writes))
 		var more time.Duration
 		more, err = forUser(s.writes, writes)
 		wait = max(wait, more)
@@ -255,7 +260,11 @@
 // Commit commits records of an owner or leader.
 func (s *Store) Commit(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
 	if n := len(txn.Then); n > 0 {
-		if err := s.records.WaitN(ctx, n); err != nil {
+		s.budget.wanted.Add(int64(n))
+		s.budget.waiting.Add(int64(n))
+		err := s.records.WaitN(ctx, n)
+		s.budget.waiting.Add(-int64(n))
+		if err != nil {
 			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
 		}
 		s.writes.ReserveN(time.Now(), n)
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -62,6 +62,8 @@
 	leader   leaderState
 	started  time.Time
 	bias     map[string]*classBias
+	// writeDemand is how many changes a second this controller wants.
+	writeDemand float64
 }
 
 // peerState is what another controller last said of itself.
@@ -198,6 +200,7 @@
 func (c *Controller) tick(now time.Time) {
 	c.checkMachines(now)
 	c.checkClaims(now)
+	c.shareBudget(now)
 	for _, p := range c.parts {
 		if p.mine && p.ready {
 			p.wake()
@@ -215,6 +218,21 @@
 	}
 }
 
+// shareBudget divides the state service's budget by what the controllers want.
+// One that was not heard counts as wanting as much as the others together do
+// on average.
+func (c *Controller) shareBudget(now time.Time) {
+	c.writeDemand = c.store.Demand(now)
+	total, heard := c.writeDemand, 1.0
+	for _, ps := range c.peers {
+		if ps.recent(now) {
+			total += ps.summary.WriteDemand
+			heard++
+		}
+	}
+	c.store.ShareWrites(c.writeDemand, total*float64(len(c.peers)+1)/heard)
+}
+
 func (p *part) wake() {
 	select {
 	case p.kick <- struct{}{}:
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -430,15 +430,19 @@
 	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) && (!spot || d.Spot)
 }
 
-// howMany is how many tasks of a demand the given room holds.
+// howMany is how many of a demand's tasks the given room holds.
 func howMany(d *peer.Demand, cpus, gpus, mem float64) int {
-	n := int(d.Count)
+	return slots(d, cpus, gpus, mem, int(d.Count))
+}
+
+// slots is how many tasks like a demand's the given room holds, at most most.
+func slots(d *peer.Demand, cpus, gpus, mem float64, most int) int {
 	for _, r := range [][2]float64{{d.Cpus, cpus}, {d.Gpus, gpus}, {d.MemGb, mem}} {
 		if r[0] > 0 {
-			n = min(n, int((r[1]+epsilon)/r[0]))
+			most = min(most, int((r[1]+epsilon)/r[0]))
 		}
 	}
-	return max(n, 0)
+	return max(most, 0)
 }
 
 // moveIdle moves idle machines from parts without fitting work to the part
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -88,7 +88,7 @@
 
 // summary describes this controller and its parts.
 func (c *Controller) summary(now time.Time) *peer.Summary {
-	sum := &peer.Summary{From: c.set.Label, StateSilenceS: c.store.Silence().Seconds()}
+	sum := &peer.Summary{From: c.set.Label, StateSilenceS: c.store.Silence().Seconds(), WriteDemand: c.writeDemand}
 	for _, p := range c.parts {
 		if p.mine && p.ready {
 			sum.Parts = append(sum.Parts, c.partSummary(p, now))
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -26,15 +26,21 @@
 			continue // the summary does not know yet what this one brings
 		}
 		wanted := map[offer]int{}
+		have := c.fleet(v.part)
+		ahead := 0.0
 		for _, d := range v.demands {
+			count := float64(d.Count)
 			for d.Count > 0 {
-				o, n := c.cheapest(d, scarce, now)
+				wait := d.EstimateS * (ahead + float64(d.Count)) / max(1, c.room(d, have))
+				o, n := c.cheapest(d, scarce, wait, now)
 				if n == 0 {
 					break
 				}
 				wanted[o]++
+				have[o]++
 				c.fill(o, v.demands)
 			}
+			ahead += count
 		}
 		for o, n := range wanted {
 			c.startRental(o, v.part, n)
@@ -42,6 +48,28 @@
 	}
 }
 
+// fleet counts a part's machines by what the cloud calls them.
+func (c *Controller) fleet(part int) map[offer]int {
+	have := map[offer]int{}
+	for _, m := range c.machines {
+		if m.rec.Part == part && m.typ != nil && !m.lost && !m.faulty {
+			have[offer{m.rec.Type, m.rec.Zone, m.rec.Spot}]++
+		}
+	}
+	return have
+}
+
+// room is how many tasks like a demand's a fleet runs at a time.
+func (c *Controller) room(d *peer.Demand, have map[offer]int) float64 {
+	sum := 0
+	for o, n := range have {
+		if t := c.types[o.typ]; t != nil && demandAllows(d, o.typ, o.zone, o.spot) {
+			sum += n * slots(d, t.CPUs, t.GPUs, t.MemGB, 1000)
+		}
+	}
+	return float64(sum)
+}
+
 // spareSlack is how much time a task must have left, beyond its run and the
 // boot, for the leader to wait for spot capacity instead of paying the
 // ordinary price.
@@ -49,8 +77,9 @@
 
 // cheapest picks the offer that serves a demand at the least price for each of
 // its tasks, and how many of them it holds. Types that work of fewer choices
-// needs come last.
-func (c *Controller) cheapest(d *peer.Demand, scarce scarcity, now time.Time) (offer, int) {
+// needs come last. wait is how long the demand's last task would wait for the
+// machines that there are.
+func (c *Controller) cheapest(d *peer.Demand, scarce scarcity, wait float64, now time.Time) (offer, int) {
 	var best offer
 	held, least, bestContested := 0, math.Inf(1), true
 	breadth := 0
@@ -73,7 +102,7 @@
 				if !demandAllows(d, t.Name, zone, spot) || now.Before(c.leader.refused[o]) {
 					continue
 				}
-				if !spot && d.Spot && d.SlackS-d.EstimateS-t.BootS > spareSlack {
+				if !spot && d.Spot && d.SlackS-d.EstimateS-t.BootS-wait > spareSlack {
 					continue // there is time to wait for a spot machine
 				}
 				price := t.Price
