Backlogs by Moore and Hodgson's rule; scarce machines shared; late boots not counted

Causes: parts held racks while others queued for them; deadline order under a backlog made every job late; after a takeover machines that had died counted as coming for 75 s.

--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -184,7 +184,7 @@
 func (m *machine) reset() {
 	m.attempts, m.foreign = map[string]*attempt{}, map[string]protocol.TaskReport{}
 	m.fenced, m.lost, m.moving, m.heard, m.wantBump = false, false, false, false, false
-	m.retiring = time.Time{}
+	m.retiring, m.yieldTill = time.Time{}, time.Time{}
 	m.resources()
 }
 
@@ -374,7 +374,7 @@
 			c.fence(m)
 		}
 	}
-	p.ready = true
+	p.ready, p.order = true, nil
 	p.wake()
 	c.log.Info("part ready", "part", p.index, "live", live, "after", now.Sub(p.claimed))
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -117,6 +117,7 @@
 	for i := range p.Count {
 		c.parts = append(c.parts, &part{index: i, kick: make(chan struct{}, 1), usage: make([]quota, len(p.Teams))})
 	}
+	c.leader.kick = make(chan struct{}, 1)
 	c.leader.init()
 	return c
 }
@@ -406,6 +407,7 @@
 	c.jobs[id] = j
 	if p := c.parts[j.part]; p.mine && p.ready {
 		j.own()
+		p.order = nil
 		p.wake()
 	}
 }
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -24,6 +24,8 @@
 	version uint64
 	orphan  time.Time
 
+	// kick brings the next round forward.
+	kick     chan struct{}
 	counter  int
 	renting  map[string]*rental
 	refused  map[offer]time.Time // capacity that was refused, until when
@@ -34,6 +36,8 @@
 	// before it noticed must not bring another one.
 	settled map[int]time.Time
 	listed  map[string]protocol.ListedMachine
+	// yielding are the machines that empty in order to move, and where to.
+	yielding map[string]yielding
 }
 
 // offer is something that the cloud rents.
@@ -53,7 +57,7 @@
 	l.renting, l.refused = map[string]*rental{}, map[offer]time.Time{}
 	l.deleting, l.adopting = map[string]time.Time{}, map[string]time.Time{}
 	l.moved, l.settled = map[string]time.Time{}, map[int]time.Time{}
-	l.listed = map[string]protocol.ListedMachine{}
+	l.listed, l.yielding = map[string]protocol.ListedMachine{}, map[string]yielding{}
 }
 
 // applyLeader follows who leads.
@@ -162,7 +166,14 @@
 func (c *Controller) leaderDuty() {
 	lastList := time.Time{}
 	listEvery := max(2*time.Second, settings.Seconds(c.set.Params.Cloud.ListLagS/3))
-	for c.sleep(c.op.MovePeriod) {
+	for {
+		select {
+		case <-time.After(c.op.MovePeriod):
+		case <-c.leader.kick:
+			// What was refused is sought elsewhere at once.
+		case <-c.ctx.Done():
+			return
+		}
 		leading := false
 		c.do(func() { leading = c.leader.mine })
 		if !leading {
@@ -252,6 +263,7 @@
 	views := c.views(now)
 	c.adoptStrays(views, now)
 	c.giveUp(views, now)
+	c.balance(views, now)
 	c.moveIdle(views, now)
 	c.rent(views, now)
 	c.returnIdle(views, now)
@@ -487,18 +499,23 @@
 						continue
 					}
 					d.Count -= uint32(n)
-					c.leader.moved[name] = now
-					st.Idle = false
-					c.log.Info("moving machine", "machine", name, "from", from.part, "to", to.part)
-					c.askOwner(from.owner, &peer.FleetRequest{Machine: name, ToPart: uint32(to.part)}, func() {
-						c.do(func() { c.leader.settled[to.part] = time.Now() })
-					})
+					c.move(st, m, from, to.part, now)
 				}
 			}
 		}
 	}
 }
 
+// move asks the owner of an idle machine to hand it to another part.
+func (c *Controller) move(st *peer.MachineStatus, m *machine, from *view, to int, now time.Time) {
+	c.leader.moved[m.name] = now
+	st.Idle = false
+	c.log.Info("moving machine", "machine", m.name, "from", from.part, "to", to)
+	c.askOwner(from.owner, &peer.FleetRequest{Machine: m.name, ToPart: uint32(to)}, func() {
+		c.do(func() { c.leader.settled[to] = time.Now() })
+	})
+}
+
 // wantsMachine says whether a part has waiting work for a machine of its own.
 func wantsMachine(v *view, m *machine) bool {
 	for _, d := range v.demands {
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -143,6 +143,7 @@
 	notice       time.Time // when the cloud takes it away; zero if not announced
 	strayedSince time.Time // since when its worker visits others and not us
 	retiring     time.Time
+	yieldTill    time.Time // until when nothing new is placed, for a move
 	moving       bool
 	faulty       bool
 	avoidTill    time.Time
@@ -221,6 +222,9 @@
 	usage   []quota // by team
 	// preempted is when work was last considered for stopping.
 	preempted time.Time
+	// order is the jobs as they are served, as of orderedAt.
+	order     []*job
+	orderedAt time.Time
 }
 
 // quota counts what a team's live attempts use.
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -120,7 +120,7 @@
 		idle := len(m.attempts) == 0 && len(m.foreign) == 0 && m.fenced && !m.sending
 		st := &peer.MachineStatus{Name: m.name, Heard: m.heard, Idle: idle, Lost: m.lost, Retiring: !m.retiring.IsZero(),
 			Faulty: m.faulty, Addr: m.rec.Addr, Session: m.session,
-			NeverUp: !m.heard && len(m.attempts) == 0 && m.typ != nil && now.Sub(m.ownedSince) > c.bootLimit(m.typ)+5*time.Second}
+			NeverUp: !m.heard && len(m.attempts) == 0 && m.typ != nil && now.Sub(m.ownedSince) > neverUpPause && m.age(now) > c.bootLimit(m.typ)}
 		if m.typ != nil {
 			st.FreeCpus, st.FreeGpus, st.FreeMemGb = m.typ.CPUs-m.usedCPUs, m.typ.GPUs-m.usedGPUs, m.typ.MemGB-m.usedMem
 		}
@@ -131,7 +131,7 @@
 		// A machine that still boots, or was just moved here, will take some
 		// of what waits.
 		if m.typ != nil && !m.lost && !m.faulty && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
-			now.Sub(m.ownedSince) < c.bootLimit(m.typ) {
+			(m.age(now) < usualBoot(m.typ) || now.Sub(m.ownedSince) < c.reportS+time.Second) {
 			coming = append(coming, m)
 			left[m] = &room{st.FreeCpus, st.FreeGpus, st.FreeMemGb}
 		}
@@ -175,6 +175,26 @@
 	return time.Duration((3*t.BootS + 15) * float64(time.Second))
 }
 
+// neverUpPause is how long a new owner waits for a machine that should have
+// been up long ago.
+const neverUpPause = 10 * time.Second
+
+// usualBoot is how long most machines take. What takes longer may never come
+// up, so waiting work no longer counts on it.
+func usualBoot(t *protocol.MachineType) time.Duration {
+	return time.Duration((1.6*t.BootS + 2) * float64(time.Second))
+}
+
+// age is how long ago a machine was rented. A record may not say it, and clocks
+// differ, so that it is at least how long its owner has known it.
+func (m *machine) age(now time.Time) time.Duration {
+	known := now.Sub(m.ownedSince)
+	if m.rec.RentedMS == 0 {
+		return known
+	}
+	return max(known, time.Duration(now.UnixMilli()-m.rec.RentedMS)*time.Millisecond)
+}
+
 // fleetRequest does what the leader asks about one of this owner's machines.
 func (c *Controller) fleetRequest(fr *peer.FleetRequest) *peer.FleetReply {
 	reply := &peer.FleetReply{Reason: "stopping"}
@@ -187,6 +207,11 @@
 			reply.Reason = "not mine"
 			return
 		}
+		if fr.Yield {
+			m.yieldTill = time.Now().Add(yieldTime)
+			reply.Ok = true
+			return
+		}
 		if m.heard && !m.lost && (len(m.attempts) > 0 || len(m.foreign) > 0 || m.sending || m.moving || !m.fenced) || !m.heard && !fr.Retire {
 			reply.Reason = "in use"
 			return
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -31,7 +31,7 @@
 		for _, d := range v.demands {
 			count := float64(d.Count)
 			for d.Count > 0 {
-				wait := d.EstimateS * (ahead + float64(d.Count)) / max(1, c.room(d, have))
+				wait := d.EstimateS * (ahead + float64(d.Count)) / max(1, c.room(d, scarce, have))
 				o, n := c.cheapest(d, scarce, wait, now)
 				if n == 0 {
 					break
@@ -59,11 +59,12 @@
 	return have
 }
 
-// room is how many tasks like a demand's a fleet runs at a time.
-func (c *Controller) room(d *peer.Demand, have map[offer]int) float64 {
-	sum := 0
+// room is how many tasks like a demand's a fleet runs at a time, on machines
+// that no choosier work needs.
+func (c *Controller) room(d *peer.Demand, scarce scarcity, have map[offer]int) float64 {
+	sum, breadth := 0, c.demandBreadth(d)
 	for o, n := range have {
-		if t := c.types[o.typ]; t != nil && demandAllows(d, o.typ, o.zone, o.spot) {
+		if t := c.types[o.typ]; t != nil && !scarce.contested(o.typ, breadth) && demandAllows(d, o.typ, o.zone, o.spot) {
 			sum += n * slots(d, t.CPUs, t.GPUs, t.MemGB, 1000)
 		}
 	}
@@ -82,12 +83,7 @@
 func (c *Controller) cheapest(d *peer.Demand, scarce scarcity, wait float64, now time.Time) (offer, int) {
 	var best offer
 	held, least, bestContested := 0, math.Inf(1), true
-	breadth := 0
-	for i := range c.catalog {
-		if t := &c.catalog[i]; howMany(d, t.CPUs, t.GPUs, t.MemGB) > 0 && (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) {
-			breadth++
-		}
-	}
+	breadth := c.demandBreadth(d)
 	for i := range c.catalog {
 		t := &c.catalog[i]
 		n := howMany(d, t.CPUs, t.GPUs, t.MemGB)
@@ -120,6 +116,22 @@
 	return best, held
 }
 
+// demandFits says whether a demand's tasks fit an empty machine of a type.
+func demandFits(d *peer.Demand, t *protocol.MachineType) bool {
+	return (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) && slots(d, t.CPUs, t.GPUs, t.MemGB, 1) > 0
+}
+
+// demandBreadth is how many machine types a demand's tasks fit.
+func (c *Controller) demandBreadth(d *peer.Demand) int {
+	n := 0
+	for i := range c.catalog {
+		if demandFits(d, &c.catalog[i]) {
+			n++
+		}
+	}
+	return n
+}
+
 // fill takes from the demands what a machine of the offer would run.
 func (c *Controller) fill(o offer, demands []*peer.Demand) {
 	t := c.types[o.typ]
@@ -172,6 +184,10 @@
 				c.leader.refused[r.offer] = time.Now().Add(15 * time.Second)
 				delete(c.leader.renting, name)
 			})
+			select {
+			case c.leader.kick <- struct{}{}:
+			default:
+			}
 			return
 		}
 		c.log.Debug("rental unanswered", "request", name, "status", status, "reason", err)
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -323,48 +323,39 @@
 }
 
 // inOrder lists a part's jobs in the order in which they are served: urgency,
-// then what can still be done in time, then deadline, then age.
+// then what can still be done in time, then deadline, then age. The list is
+// kept for a moment, so that events do not each sort all jobs again.
 func (c *Controller) inOrder(p *part) []*job {
-	var list []*job
 	now := time.Now()
-	hope := map[*job]int{}
+	if p.order != nil && now.Sub(p.orderedAt) < orderFor {
+		p.order = slices.DeleteFunc(p.order, func(j *job) bool { return !j.owned || c.jobs[j.spec.ID] != j })
+		return slices.Clone(p.order)
+	}
+	list := []*job{}
 	for _, j := range c.jobs {
 		if j.part == p.index && j.owned {
 			list = append(list, j)
-			hope[j] = c.hopeless(j, now)
 		}
 	}
 	slices.SortFunc(list, func(a, b *job) int {
-		if a.spec.Urgency != b.spec.Urgency {
-			return int(b.spec.Urgency) - int(a.spec.Urgency)
-		}
-		if hope[a] != hope[b] {
-			return hope[a] - hope[b]
-		}
 		if d := a.due().Compare(b.due()); d != 0 {
 			return d
 		}
 		return strings.Compare(a.spec.ID, b.spec.ID)
 	})
-	return list
+	late := c.grade(p, list, now)
+	slices.SortStableFunc(list, func(a, b *job) int {
+		if a.spec.Urgency != b.spec.Urgency {
+			return int(b.spec.Urgency) - int(a.spec.Urgency)
+		}
+		return late[a] - late[b]
+	})
+	p.order, p.orderedAt = list, now
+	return slices.Clone(list)
 }
 
-// hopeless grades jobs by how late they must be: serving a job that is late in
-// any case first would make the next ones late too. What has waited several
-// times its deadline goes first again, so that nothing starves.
-func (c *Controller) hopeless(j *job, now time.Time) int {
-	d := j.spec.DeadlineS
-	if d <= 0 || len(j.queue) == 0 {
-		return 0
-	}
-	switch end := now.Sub(j.received).Seconds() + c.estimate(j.spec)*c.rounds(j); {
-	case end <= d || now.Sub(j.received).Seconds() > 5*d:
-		return 0
-	case end <= 1.5*d:
-		return 1
-	}
-	return 2
-}
+// orderFor is how long an order of jobs is good for.
+const orderFor = 200 * time.Millisecond
 
 // rounds is how many run times the waiting tasks of a job take one after the
 // other, since its team's limit lets only so many run at once.
