--- a/internal/coordination/lateness.go
+++ b/internal/coordination/lateness.go
@@ -51,38 +51,79 @@
 	return late
 }
 
+// backlog is work that queues for one thing, in seconds of all of it.
+type backlog struct {
+	jobs  []*job
+	work  []float64
+	total float64
+}
+
+func (b *backlog) add(j *job, work float64) {
+	b.jobs, b.work, b.total = append(b.jobs, j), append(b.work, work), b.total+work
+}
+
+func (b *backlog) largest() *job { return b.jobs[slices.Index(b.work, slices.Max(b.work))] }
+
+func (b *backlog) remove(j *job) {
+	if i := slices.Index(b.jobs, j); i >= 0 {
+		b.total -= b.work[i]
+		b.jobs, b.work = slices.Delete(b.jobs, i, i+1), slices.Delete(b.work, i, i+1)
+	}
+}
+
 // dropLate returns the jobs that can't be done within times their deadlines.
+// They queue for machines, and for what their team's limit leaves.
 func (c *Controller) dropLate(fleet map[string]int, jobs []*job, times float64, now time.Time) []*job {
-	var dropped, kept []*job
-	var work []float64 // seconds of all machines that each kept job takes
-	var total float64
+	var dropped []*job
+	machines, teams := &backlog{}, map[int]*backlog{}
 	for _, j := range jobs {
-		w := 0.0
-		if n := c.slotsOf(fleet, j.spec); n > 0 {
-			w = c.estimate(j.spec) * float64(len(j.queue)) / float64(n)
-		}
 		left := j.spec.DeadlineS*times - now.Sub(j.received).Seconds()
-		alone := c.estimate(j.spec) * c.rounds(j)
+		estimate := c.estimate(j.spec)
+		alone := estimate * c.rounds(j)
 		if alone > left {
 			dropped = append(dropped, j)
 			continue
 		}
-		kept, work = append(kept, j), append(work, w)
-		total += w
+		team := teams[j.team]
+		if team == nil {
+			team = &backlog{}
+			teams[j.team] = team
+		}
 		// The last task starts before all work is done.
-		if total-w+max(w, alone) > left {
-			i := slices.Index(work, slices.Max(work))
-			dropped = append(dropped, kept[i])
-			total -= work[i]
-			kept, work = slices.Delete(kept, i, i+1), slices.Delete(work, i, i+1)
+		for _, queue := range []struct {
+			b     *backlog
+			slots float64
+		}{{machines, c.slotsOf(fleet, j.spec)}, {team, c.atOnce(j)}} {
+			if math.IsInf(queue.slots, 1) || queue.slots == 0 {
+				continue
+			}
+			work := estimate * float64(len(j.queue)) / queue.slots
+			queue.b.add(j, work)
+			if queue.b.total-work+max(work, alone) > left {
+				late := queue.b.largest()
+				dropped = append(dropped, late)
+				machines.remove(late)
+				teams[late.team].remove(late)
+				if late == j {
+					break
+				}
+			}
 		}
 	}
 	return dropped
 }
 
+// beyondHelp says that a job will be much too late even if all its team's
+// limit allows starts now. Such work waits for spot machines: an ordinary one,
+// several times as dear, would bring nobody anything.
+func (c *Controller) beyondHelp(j *job, now time.Time) bool {
+	waited, d := now.Sub(j.received).Seconds(), j.spec.DeadlineS
+	return d > 0 && waited < starved*d && waited+c.estimate(j.spec)*c.rounds(j) > 1.5*d
+}
+
 // slotsOf is how many tasks of a job a fleet, counted by type, runs at a time.
-func (c *Controller) slotsOf(fleet map[string]int, s *protocol.JobSpec) int {
-	sum := 0
+func (c *Controller) slotsOf(fleet map[string]int, s *protocol.JobSpec) float64 {
+	sum := 0.0
 	for i := range c.catalog {
 		t := &c.catalog[i]
 		if n := fleet[t.Name]; n > 0 && typeFits(s, t) {
@@ -92,12 +133,27 @@
 					each = min(each, math.Floor((r[1]+epsilon)/r[0]))
 				}
 			}
-			sum += n * int(min(each, 1000))
+			sum += float64(n) * min(each, 1000)
 		}
 	}
 	return sum
 }
 
+// atOnce is how many tasks of a job its team's limit lets run at a time.
+func (c *Controller) atOnce(j *job) float64 {
+	t := c.set.Params.Teams[j.team]
+	if t.CPUsMax <= 0 || j.spec.CPUs <= 0 {
+		return math.Inf(1)
+	}
+	return max(1, math.Floor((t.CPUsMax+epsilon)/j.spec.CPUs))
+}
+
+// rounds is how many run times the waiting tasks of a job take one after the
+// other, since its team's limit lets only so many run at once.
+func (c *Controller) rounds(j *job) float64 {
+	return max(1, math.Ceil(float64(len(j.queue))/c.atOnce(j)))
+}
+
 // typeSet is the set of machine types that a job's tasks fit, as bits.
 func (c *Controller) typeSet(s *protocol.JobSpec) uint64 {
 	set := uint64(0)
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -439,7 +439,8 @@
 }
 
 func demandAllows(d *peer.Demand, typ, zone string, spot bool) bool {
-	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) && (!spot || d.Spot)
+	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) &&
+		(!spot || d.Spot) && (spot || !d.Spot || !d.Late)
 }
 
 // howMany is how many of a demand's tasks the given room holds.
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -136,19 +136,25 @@
 			left[m] = &room{st.FreeCpus, st.FreeGpus, st.FreeMemGb}
 		}
 	}
+	claimed := make([]quota, len(p.usage))
 	for _, j := range c.inOrder(p) {
 		if len(j.queue) == 0 || j.withdrawn || now.Before(j.holdTill) {
 			continue
 		}
 		s := j.spec
 		n := len(j.queue)
-		team := c.set.Params.Teams[j.team]
+		// Jobs of a team share what its limit leaves.
+		team, own := c.set.Params.Teams[j.team], &claimed[j.team]
 		if team.CPUsMax > 0 && s.CPUs > 0 {
-			n = min(n, int((team.CPUsMax-p.usage[j.team].cpus+epsilon)/s.CPUs))
+			n = min(n, int((team.CPUsMax-p.usage[j.team].cpus-own.cpus+epsilon)/s.CPUs))
 		}
 		if team.GPUsMax > 0 && s.GPUs > 0 {
-			n = min(n, int((team.GPUsMax-p.usage[j.team].gpus+epsilon)/s.GPUs))
+			n = min(n, int((team.GPUsMax-p.usage[j.team].gpus-own.gpus+epsilon)/s.GPUs))
 		}
+		if n <= 0 {
+			continue
+		}
+		own.add(s, float64(n))
 		for _, m := range coming {
 			r := left[m]
 			for n > 0 && allowed(s, m.rec.Type, m.rec.Zone, m.rec.Spot) &&
@@ -162,7 +168,7 @@
 		}
 		ps.Demands = append(ps.Demands, &peer.Demand{Cpus: s.CPUs, Gpus: s.GPUs, MemGb: s.MemGB, Types: s.Types, Zone: s.Zone,
 			Spot: s.Spot, Count: uint32(n), WaitedS: now.Sub(j.received).Seconds(), Urgency: uint32(s.Urgency),
-			EstimateS: c.estimate(s), Image: s.Image, SlackS: j.due().Sub(now).Seconds()})
+			EstimateS: c.estimate(s), Image: s.Image, SlackS: j.due().Sub(now).Seconds(), Late: c.beyondHelp(j, now)})
 		if len(ps.Demands) >= 200 {
 			break
 		}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -10,6 +10,8 @@
 	// lastMoment is how close to being late a job must be before running work
 	// is stopped for it: stopping wastes work, and room may still come free.
 	lastMoment = 8 * time.Second
+	// quotaMoment is the same where only the team's limit is in the way.
+	quotaMoment = 20 * time.Second
 	// urgentPatience is how long jobs without a deadline, and jobs within their
 	// team's guarantee, wait before running work is stopped for them.
 	urgentPatience = 15 * time.Second
@@ -36,7 +38,11 @@
 	promised := map[*machine]bool{}
 	stopped := 0
 	for _, j := range c.inOrder(p) {
-		if len(j.queue) == 0 || j.spec.Gang || j.withdrawn || now.Before(j.holdTill) || !c.mustStart(j, now) {
+		if len(j.queue) == 0 || j.spec.Gang || j.withdrawn || now.Before(j.holdTill) || !c.mustStart(p, j, now) {
+			continue
+		}
+		if !c.withinLimit(p, j) {
+			stopped += c.freeQuota(p, j, preemptMost-stopped, now)
 			continue
 		}
 		guaranteed := c.withinGuarantee(p, j)
@@ -58,14 +64,60 @@
 	}
 }
 
-// mustStart says whether a job can't wait any longer.
-func (c *Controller) mustStart(j *job, now time.Time) bool {
+// mustStart says whether a job can't wait any longer. Where the team's own
+// lower work is in the way, that work has to save and end first.
+func (c *Controller) mustStart(p *part, j *job, now time.Time) bool {
 	waited := now.Sub(j.received)
 	if j.spec.DeadlineS <= 0 {
 		return waited > urgentPatience
 	}
+	moment := lastMoment
+	if !c.withinLimit(p, j) {
+		moment = quotaMoment
+	}
 	spare := j.due().Sub(now) - time.Duration(c.estimate(j.spec)*float64(time.Second))
-	return spare >= 0 && spare < lastMoment
+	return spare >= 0 && spare < moment
+}
+
+// freeQuota stops lower work of a job's own team, so that the job gets what
+// the team's limit leaves. It returns how many attempts it stopped.
+func (c *Controller) freeQuota(p *part, j *job, most int, now time.Time) int {
+	t, s := c.set.Params.Teams[j.team], j.spec
+	room := quota{t.CPUsMax - p.usage[j.team].cpus, t.GPUsMax - p.usage[j.team].gpus}
+	var victims []*attempt
+	for _, lower := range p.order {
+		if lower.team != j.team || lower.spec.Urgency >= s.Urgency {
+			continue
+		}
+		for _, a := range lower.live {
+			switch {
+			case a.stopping:
+				room.add(lower.spec, 1)
+			// Throwing away more work than the newcomer brings helps nobody.
+			case a.live() && c.loss(a, now) <= c.estimate(s)*max(lower.spec.CPUs, 1):
+				victims = append(victims, a)
+			}
+		}
+	}
+	slices.SortFunc(victims, func(a, b *attempt) int {
+		return cmp.Or(cmp.Compare(c.loss(a, now), c.loss(b, now)), cmp.Compare(a.wire(), b.wire()))
+	})
+	need := float64(len(j.queue))
+	fits := func() bool {
+		return (t.CPUsMax <= 0 || need*s.CPUs <= room.cpus+epsilon || room.cpus >= t.CPUsMax-s.CPUs) &&
+			(t.GPUsMax <= 0 || need*s.GPUs <= room.gpus+epsilon || room.gpus >= t.GPUsMax-s.GPUs)
+	}
+	stopped := 0
+	for _, a := range victims {
+		if stopped >= most || fits() {
+			break
+		}
+		c.log.Info("preempting", "task", a.wire(), "machine", a.machine.name, "for", s.ID, "reason", "team's limit")
+		room.add(a.job.spec, 1)
+		c.stopAttempt(a, a.job.spec.SaveS+1, now)
+		stopped++
+	}
+	return stopped
 }
 
 // withinGuarantee says whether one more task keeps the team in its guarantee.
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math"
 	"slices"
 	"strings"
 	"time"
@@ -265,7 +264,8 @@
 		}
 	}
 	for _, j := range b.finals {
-		c.log.Info("job done", "job", j.spec.ID, "after", now.Sub(j.received))
+		c.log.Info("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks, "after", now.Sub(j.received),
+			"due_s", j.spec.DeadlineS)
 		c.setFinal(j.spec.ID, protocol.StatusDone)
 	}
 	for _, bc := range b.chunks {
@@ -357,16 +357,6 @@
 // orderFor is how long an order of jobs is good for.
 const orderFor = 200 * time.Millisecond
 
-// rounds is how many run times the waiting tasks of a job take one after the
-// other, since its team's limit lets only so many run at once.
-func (c *Controller) rounds(j *job) float64 {
-	t := c.set.Params.Teams[j.team]
-	if t.CPUsMax <= 0 || j.spec.CPUs <= 0 {
-		return 1
-	}
-	return math.Ceil(float64(len(j.queue)) / math.Max(1, math.Floor((t.CPUsMax+epsilon)/j.spec.CPUs)))
-}
-
 // due is when a job should be done; one without a deadline queues as if it
 // had a long one.
 func (j *job) due() time.Time {
@@ -522,9 +512,10 @@
 	quick := func(m *machine) bool {
 		return j.spec.ImageGB <= long*m.typ.FetchGBPerS || m.hasImage(j.spec.Image)
 	}
+	cheap := j.spec.Spot && c.beyondHelp(j, now)
 	var fit []*machine
 	for _, m := range machines {
-		if m.fits(j.spec) && (!quickly || quick(m)) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
+		if m.fits(j.spec) && (!quickly || quick(m)) && (!cheap || m.rec.Spot) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
 			!j.failedOn[m.name] {
 			fit = append(fit, m)
 		}
