--- a/internal/coordination/lateness.go
+++ b/internal/coordination/lateness.go
@@ -113,14 +113,6 @@
 	return dropped
 }
 
-// beyondHelp says that a job will be much too late even if all its team's
-// limit allows starts now. Such work waits for spot machines: an ordinary one,
-// several times as dear, would bring nobody anything.
-func (c *Controller) beyondHelp(j *job, now time.Time) bool {
-	waited, d := now.Sub(j.received).Seconds(), j.spec.DeadlineS
-	return d > 0 && waited < starved*d && waited+c.estimate(j.spec)*c.rounds(j) > 1.5*d
-}
-
 // slotsOf is how many tasks of a job a fleet, counted by type, runs at a time.
 func (c *Controller) slotsOf(fleet map[string]int, s *protocol.JobSpec) float64 {
 	sum := 0.0
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -439,8 +439,7 @@
 }
 
 func demandAllows(d *peer.Demand, typ, zone string, spot bool) bool {
-	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) &&
-		(!spot || d.Spot) && (spot || !d.Spot || !d.Late)
+	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) && (!spot || d.Spot)
 }
 
 // howMany is how many of a demand's tasks the given room holds.
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -168,7 +168,7 @@
 		}
 		ps.Demands = append(ps.Demands, &peer.Demand{Cpus: s.CPUs, Gpus: s.GPUs, MemGb: s.MemGB, Types: s.Types, Zone: s.Zone,
 			Spot: s.Spot, Count: uint32(n), WaitedS: now.Sub(j.received).Seconds(), Urgency: uint32(s.Urgency),
-			EstimateS: c.estimate(s), Image: s.Image, SlackS: j.due().Sub(now).Seconds(), Late: c.beyondHelp(j, now)})
+			EstimateS: c.estimate(s), Image: s.Image, SlackS: j.due().Sub(now).Seconds()})
 		if len(ps.Demands) >= 200 {
 			break
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -512,10 +512,9 @@
 	quick := func(m *machine) bool {
 		return j.spec.ImageGB <= long*m.typ.FetchGBPerS || m.hasImage(j.spec.Image)
 	}
-	cheap := j.spec.Spot && c.beyondHelp(j, now)
 	var fit []*machine
 	for _, m := range machines {
-		if m.fits(j.spec) && (!quickly || quick(m)) && (!cheap || m.rec.Spot) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
+		if m.fits(j.spec) && (!quickly || quick(m)) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
 			!j.failedOn[m.name] {
 			fit = append(fit, m)
 		}
