--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -184,7 +184,7 @@
 func (m *machine) reset() {
 	m.attempts, m.foreign = map[string]*attempt{}, map[string]protocol.TaskReport{}
 	m.fenced, m.lost, m.moving, m.heard, m.wantBump = false, false, false, false, false
-	m.retiring, m.yieldTill = time.Time{}, time.Time{}
+	m.retiring = time.Time{}
 	m.resources()
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -36,8 +36,6 @@
 	// before it noticed must not bring another one.
 	settled map[int]time.Time
 	listed  map[string]protocol.ListedMachine
-	// yielding are the machines that empty in order to move, and where to.
-	yielding map[string]yielding
 }
 
 // offer is something that the cloud rents.
@@ -57,7 +55,7 @@
 	l.renting, l.refused = map[string]*rental{}, map[offer]time.Time{}
 	l.deleting, l.adopting = map[string]time.Time{}, map[string]time.Time{}
 	l.moved, l.settled = map[string]time.Time{}, map[int]time.Time{}
-	l.listed, l.yielding = map[string]protocol.ListedMachine{}, map[string]yielding{}
+	l.listed = map[string]protocol.ListedMachine{}
 }
 
 // applyLeader follows who leads.
@@ -263,7 +261,6 @@
 	views := c.views(now)
 	c.adoptStrays(views, now)
 	c.giveUp(views, now)
-	c.balance(views, now)
 	c.moveIdle(views, now)
 	c.rent(views, now)
 	c.returnIdle(views, now)
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -143,7 +143,6 @@
 	notice       time.Time // when the cloud takes it away; zero if not announced
 	strayedSince time.Time // since when its worker visits others and not us
 	retiring     time.Time
-	yieldTill    time.Time // until when nothing new is placed, for a move
 	moving       bool
 	faulty       bool
 	avoidTill    time.Time
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -213,11 +213,6 @@
 			reply.Reason = "not mine"
 			return
 		}
-		if fr.Yield {
-			m.yieldTill = time.Now().Add(yieldTime)
-			reply.Ok = true
-			return
-		}
 		if m.heard && !m.lost && (len(m.attempts) > 0 || len(m.foreign) > 0 || m.sending || m.moving || !m.fenced) || !m.heard && !fr.Retire {
 			reply.Reason = "in use"
 			return
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -566,7 +566,7 @@
 // usable says whether new work may go to a machine.
 func (c *Controller) usable(m *machine, now time.Time) bool {
 	return m.fenced && !m.lost && !m.moving && !m.faulty && m.typ != nil && m.rec.Addr != "" &&
-		m.retiring.IsZero() && m.notice.IsZero() && now.After(m.avoidTill) && now.After(m.yieldTill) &&
+		m.retiring.IsZero() && m.notice.IsZero() && now.After(m.avoidTill) &&
 		now.Sub(m.lastHeard) < c.reportS*5/4+1500*time.Millisecond
 }
 
