Images at hand go back to breaking ties only

Preferring machines that have the image (where a fetch is long) and jobs whose image is at hand cost more by uneven loads than the fetches it saved.

--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -410,31 +410,23 @@
 	jobs := slices.DeleteFunc(c.inOrder(p), func(j *job) bool {
 		return len(j.queue) == 0 || j.withdrawn || c.finals[j.spec.ID] != "" || now.Before(j.holdTill)
 	})
-	// Where a long fetch would keep a machine's CPUs waiting, jobs whose image
-	// is at hand go first, unless another has no time to lose (an exception in
-	// docs/design.md).
-	for _, j := range jobs {
-		if !j.spec.Gang {
-			c.placeTasks(p, j, free, scarce, !c.pressed(j, now), now)
-		}
-	}
 	for _, j := range jobs {
 		if j.spec.Gang {
 			c.placeGang(p, j, free, scarce, now)
 			continue
 		}
-		c.placeTasks(p, j, free, scarce, false, now)
+		c.placeTasks(p, j, free, scarce, now)
 	}
 }
 
 // placeTasks places waiting tasks of a job while there is room.
-func (c *Controller) placeTasks(p *part, j *job, free []*machine, scarce scarcity, quickly bool, now time.Time) {
+func (c *Controller) placeTasks(p *part, j *job, free []*machine, scarce scarcity, now time.Time) {
 	placed := 0
 	for _, task := range j.queue {
 		if !c.withinLimit(p, j) {
 			break
 		}
-		m := c.choose(j, free, scarce, quickly, now)
+		m := c.choose(j, free, scarce, now)
 		if m == nil {
 			break
 		}
@@ -444,12 +436,6 @@
 	j.queue = j.queue[placed:]
 }
 
-// pressed says that a job will be late unless its tasks start about now.
-func (c *Controller) pressed(j *job, now time.Time) bool {
-	spare := j.due().Sub(now).Seconds() - c.estimate(j.spec)*c.rounds(j)
-	return j.spec.DeadlineS > 0 && spare >= 0 && spare < 3*lastMoment.Seconds()
-}
-
 // placeGang reserves room for all tasks of a gang, or for none: half a gang
 // would only wait for the rest on machines that are paid for.
 func (c *Controller) placeGang(p *part, j *job, free []*machine, scarce scarcity, now time.Time) {
@@ -466,7 +452,7 @@
 	for _, task := range j.queue {
 		var m *machine
 		if c.withinLimit(p, j) {
-			m = c.choose(j, free, scarce, false, now)
+			m = c.choose(j, free, scarce, now)
 		}
 		if m != nil {
 			c.reserve(p, j, task, number, m, now)
@@ -505,16 +491,11 @@
 
 // choose picks the machine of least contention among those that fit. The order
 // of the candidates breaks ties: an image at hand first, then the fuller one,
-// so that idle machines can be returned. With quickly, only machines count that
-// need no long fetch.
-func (c *Controller) choose(j *job, machines []*machine, scarce scarcity, quickly bool, now time.Time) *machine {
-	long := longFetch * c.estimate(j.spec)
-	quick := func(m *machine) bool {
-		return j.spec.ImageGB <= long*m.typ.FetchGBPerS || m.hasImage(j.spec.Image)
-	}
+// so that idle machines can be returned.
+func (c *Controller) choose(j *job, machines []*machine, scarce scarcity, now time.Time) *machine {
 	var fit []*machine
 	for _, m := range machines {
-		if m.fits(j.spec) && (!quickly || quick(m)) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
+		if m.fits(j.spec) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
 			!j.failedOn[m.name] {
 			fit = append(fit, m)
 		}
@@ -529,9 +510,6 @@
 	breadth := c.breadth(j.spec)
 	fit = prefer(fit, func(m *machine) bool { return !scarce.contested(m.rec.Type, breadth) })
 	fit = prefer(fit, func(m *machine) bool { return m.rec.Spot })
-	// A third one: where fetching the image would take a good part of the run,
-	// machines that have it go first, since fetches at a time share their rate.
-	fit = prefer(fit, quick)
 	slices.SortFunc(fit, func(a, b *machine) int {
 		ai, bi := a.hasImage(j.spec.Image), b.hasImage(j.spec.Image)
 		switch {
@@ -556,10 +534,6 @@
 	return fit[i]
 }
 
-// longFetch is the share of a run from which on fetching its image counts as
-// long.
-const longFetch = 0.15
-
 // hasImage says whether a machine has an image or is fetching it already.
 func (m *machine) hasImage(image string) bool {
 	if _, ok := m.images[image]; ok {
