Own parts are taken back; placement predicts each machine once; cost benchmarks

Causes: after a takeover one controller kept all parts until it ended; each placed task predicted every task on every machine again, each of the other controllers got a summary worked out for it alone, and reports that change nothing sorted all attempts twice. Benchmarks for reports, placement, ticks, summaries and takeovers at up to 800 machines; the storm also runs with 250. TestOrdersOfAFormerOwnerAreRefused now waits until the successor was heard, instead of for 7 s, which a worker's retries sometimes exceeded.

--- /dev/null
+++ b/internal/coordination/bench_test.go
@@ -0,0 +1,174 @@
+package coordination
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/settings"
+)
+
+// The benchmarks show how the cost of each duty grows with machines and tasks.
+
+// fleetOf makes a controller that owns every part, with machines up and, on
+// each, running tasks.
+func fleetOf(b *testing.B, machines, running int) *Controller {
+	b.Helper()
+	w := newWorld(b, 1)
+	set := w.set
+	set.Label = "n0"
+	for i := range set.Params.Teams {
+		set.Params.Teams[i] = settings.Team{Name: set.Params.Teams[i].Name}
+	}
+	c := New(b.Context(), &set, settings.DefaultOperator(), nil, slog.New(slog.DiscardHandler))
+	c.setCatalog(w.cloud.types)
+	now := time.Now()
+	c.synced, c.renewed = true, now
+	for _, p := range c.parts {
+		p.owner, p.version, p.mine, p.ready, p.claimed = "n0", 1, true, true, now
+	}
+	part := c.teamPart[c.teamIndex["green"]]
+	for i := range machines {
+		name := fmt.Sprintf("m-%06d", i)
+		c.machineRecorded(name, bookkeeping.Machine{Part: part, Addr: name + ":9000", Type: "big", Zone: "a", Spot: true}, uint64(i+2), now)
+		c.machines[name].fenced, c.machines[name].heard = true, true
+		c.machines[name].session = 1
+		c.machines[name].answeredBy = now
+	}
+	for i := range machines * running {
+		id := fmt.Sprintf("job-%d", i)
+		c.waiting(id, 1)
+	}
+	c.place(c.parts[part], now)
+	for _, m := range c.machines {
+		for _, a := range m.attempts {
+			a.state, a.startedAt, a.status = attemptSeen, now, protocol.TaskRunning
+		}
+	}
+	return c
+}
+
+func (c *Controller) waiting(id string, tasks int) {
+	s := spec(id, tasks, "green")
+	s.SubmittedMS = time.Now().UnixMilli()
+	c.applyJobRecord(id, bookkeeping.Encode(s))
+}
+
+var sizes = []struct{ machines, running, waiting int }{{50, 4, 500}, {200, 4, 500}, {200, 4, 4000}, {800, 4, 4000}}
+
+// BenchmarkReport: a report that changes nothing.
+func BenchmarkReport(b *testing.B) {
+	for _, running := range []int{0, 4, 8} {
+		b.Run(fmt.Sprintf("tasks=%d", running), func(b *testing.B) {
+			c := fleetOf(b, 200, running)
+			reports := make([]*protocol.Report, 0, len(c.machines))
+			for _, m := range c.machines {
+				r := &protocol.Report{Machine: m.name, Type: "big", Zone: "a", Session: 1, Token: c.token(m)}
+				for _, a := range m.attempts {
+					r.Tasks = append(r.Tasks, protocol.TaskReport{Task: a.wire(), Attempt: a.number, State: protocol.TaskRunning})
+				}
+				reports = append(reports, r)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r := reports[i%len(reports)]
+				r.Sequence++
+				if c.handleReport(r).Status != 200 {
+					b.Fatal("report refused")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPlace: a round of placement over a full fleet with work waiting,
+// and the placing of one task.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range sizes {
+		name := fmt.Sprintf("machines=%d/waiting=%d", n.machines, n.waiting)
+		b.Run("full/"+name, func(b *testing.B) {
+			c := fleetOf(b, n.machines, 8)
+			for i := range n.waiting / 20 {
+				c.waiting(fmt.Sprintf("job-9%d", i), 20)
+			}
+			p := c.parts[c.teamPart[c.teamIndex["green"]]]
+			b.ReportAllocs()
+			for b.Loop() {
+				c.place(p, time.Now())
+			}
+		})
+		b.Run("task/"+name, func(b *testing.B) {
+			c := fleetOf(b, n.machines, n.running)
+			p := c.parts[c.teamPart[c.teamIndex["green"]]]
+			placed, next := 0, 0
+			b.ReportAllocs()
+			for b.Loop() {
+				if placed == 0 {
+					b.StopTimer()
+					c = fleetOf(b, n.machines, n.running)
+					p = c.parts[c.teamPart[c.teamIndex["green"]]]
+					placed = n.machines * 2
+					b.StartTimer()
+				}
+				next++
+				placed--
+				c.waiting(fmt.Sprintf("job-8%d", next), 1)
+				c.place(p, time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkTick: what a quarter of a second costs without any event.
+func BenchmarkTick(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("machines=%d", n.machines), func(b *testing.B) {
+			c := fleetOf(b, n.machines, n.running)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.tick(time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkSummary: what an owner tells the others twice a second.
+func BenchmarkSummary(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("machines=%d", n.machines), func(b *testing.B) {
+			c := fleetOf(b, n.machines, n.running)
+			b.ReportAllocs()
+			for b.Loop() {
+				c.said.at = time.Time{}
+				c.said.latest(c, time.Now())
+			}
+		})
+	}
+}
+
+// BenchmarkRebuild: a takeover, from the records of all that runs.
+func BenchmarkRebuild(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("machines=%d/tasks=%d", n.machines, n.machines*n.running), func(b *testing.B) {
+			c := fleetOf(b, n.machines, n.running)
+			part := c.teamPart[c.teamIndex["green"]]
+			var runs []protocol.Item
+			for id, j := range c.jobs {
+				for _, ch := range j.chunks {
+					runs = append(runs, protocol.Item{Key: bookkeeping.RunKey(part, id, ch.index), Version: 5,
+						Value: bookkeeping.Encode(j.record(ch))})
+				}
+			}
+			for _, m := range c.machines {
+				m.sending = true // nothing is sent here
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				c.install(c.parts[part], runs, nil)
+			}
+		})
+	}
+}
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -20,13 +20,21 @@
 	return p.mine && now.Sub(c.renewed) < c.answerBound()
 }
 
+// claimEvery is how often a controller looks whether there is something to
+// claim, so that an orphan waits for its pause and not for a renewal.
+const claimEvery = 250 * time.Millisecond
+
 // renewDuty keeps the lease that all claims of this process hang on, and
 // claims what it should.
 func (c *Controller) renewDuty() {
-	period := c.op.ClaimTTL / 3
+	var next time.Time
 	for {
-		c.renew()
-		if !c.sleep(period) {
+		if now := time.Now(); !now.Before(next) {
+			next = now.Add(c.op.ClaimTTL / 3)
+			c.renew()
+		}
+		c.claimWishes()
+		if !c.sleep(claimEvery) {
 			return
 		}
 	}
@@ -44,28 +52,37 @@
 	} else {
 		err = c.store.Touch(c.ctx, lease, time.Second)
 	}
-	gone := errors.Is(err, bookkeeping.ErrNotFound)
+	c.do(func() {
+		switch {
+		case errors.Is(err, bookkeeping.ErrNotFound):
+			c.loseAll("the lease ended")
+		case err != nil:
+			c.log.Debug("renewal failed", "reason", err)
+		default:
+			c.lease, c.renewed = lease, sent
+		}
+	})
+}
+
+// claimWishes claims what this controller wants, while its lease is alive.
+func (c *Controller) claimWishes() {
 	type wish struct {
 		key     string
 		version uint64
 	}
 	var wishes []wish
+	var lease uint64
 	c.do(func() {
-		switch {
-		case gone:
-			c.loseAll("the lease ended")
-			return
-		case err != nil:
-			c.log.Debug("renewal failed", "reason", err)
+		now := time.Now()
+		if lease = c.lease; lease == 0 || now.Sub(c.renewed) > c.op.ClaimTTL/2 {
 			return
 		}
-		c.lease, c.renewed = lease, sent
 		for _, p := range c.parts {
-			if c.wantsPart(p, time.Now()) {
+			if c.wantsPart(p, now) {
 				wishes = append(wishes, wish{bookkeeping.ClaimKey(p.index), p.version})
 			}
 		}
-		if c.wantsLead(time.Now()) {
+		if c.wantsLead(now) {
 			wishes = append(wishes, wish{bookkeeping.LeaderKey, c.leader.version})
 		}
 	})
@@ -100,7 +117,7 @@
 		return false
 	}
 	if p.version != 0 {
-		return p.owner == c.set.Label
+		return p.owner == c.set.Label || c.takesBack(p, now)
 	}
 	if p.index == c.self {
 		return true
@@ -118,6 +135,31 @@
 	return now.Sub(p.orphan) >= pause
 }
 
+// settleIn is how long a controller must have run, and a part have had its
+// owner, before the part goes back: a roll of restarts must not move it twice.
+const settleIn = 15 * time.Second
+
+// takesBack says whether a controller that is back claims its own part from
+// the neighbour that took it over. It does so only where that evens the work
+// out, while both are well; what runs goes on, as in any takeover (7).
+func (c *Controller) takesBack(p *part, now time.Time) bool {
+	owner := c.peers[p.owner]
+	if p.index != c.self || !p.loaded || owner == nil || !owner.recent(now) ||
+		now.Sub(c.started) < settleIn || now.Sub(p.changed) < settleIn || now.Sub(c.resigned) < settleIn {
+		return false
+	}
+	mine, theirs := 0, 0
+	for _, q := range c.parts {
+		switch {
+		case q.loaded && q.mine:
+			mine++
+		case q.loaded && q.owner == p.owner:
+			theirs++
+		}
+	}
+	return theirs-mine >= 2
+}
+
 func (c *Controller) wantsLead(now time.Time) bool {
 	l := &c.leader
 	if !c.synced || l.mine || now.Sub(c.resigned) < 10*time.Second && !c.resigned.IsZero() {
@@ -145,7 +187,7 @@
 		return
 	}
 	c.lose(p, "the claim changed hands")
-	p.owner, p.version = claim.Owner, e.Version
+	p.owner, p.version, p.changed = claim.Owner, e.Version, now
 	if claim.Owner == c.set.Label && claim.Nonce == c.nonce {
 		p.mine, p.ready, p.claimed = true, false, now
 		c.log.Info("part claimed", "part", p.index, "token", p.version)
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -62,6 +62,9 @@
 	leader   leaderState
 	started  time.Time
 	bias     map[string]*classBias
+	scarce   scarcity
+	scarceAt time.Time
+	said     said
 	// writeDemand is how many changes a second this controller wants.
 	writeDemand float64
 }
@@ -117,6 +120,9 @@
 	for i := range p.Count {
 		c.parts = append(c.parts, &part{index: i, kick: make(chan struct{}, 1), usage: make([]quota, len(p.Teams))})
 	}
+	for _, i := range c.teamPart {
+		c.parts[i].loaded = true
+	}
 	c.leader.kick = make(chan struct{}, 1)
 	c.leader.init()
 	return c
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -164,7 +164,20 @@
 			w.kill(label)
 		}
 		w.start("n1")
-		time.Sleep(7 * time.Second)
+		w.mu.Lock()
+		n := w.nodes["n1"].ctl
+		w.mu.Unlock()
+		// Until a worker has heard the successor, it knows no better.
+		for fenced := 0; fenced < len(late); time.Sleep(100 * time.Millisecond) {
+			fenced = 0
+			n.do(func() {
+				for name := range late {
+					if m := n.machines[name]; m != nil && m.fenced {
+						fenced++
+					}
+				}
+			})
+		}
 		for name, o := range late {
 			w.mu.Lock()
 			wk := w.workers[name]
@@ -508,6 +521,24 @@
 	}
 }
 
+// The same with hundreds of machines and jobs of up to a hundred tasks.
+func TestNoRuleBreaksInAStormOfALargeFleet(t *testing.T) {
+	prepare := func(w *world) {
+		w.cloud.capacity, w.stormTasks = 250, 100
+		w.cloud.types = w.cloud.types[:1]
+		w.set.Params.Teams = []settings.Team{{Name: "red", CPUs: 160, CPUsMax: 320}, {Name: "blue", CPUs: 160, CPUsMax: 640}, {Name: "green"}}
+		w.set.Params.State.RPS, w.set.Params.State.WriteRPS = 600, 200
+	}
+	simulatePrepared(t, 200, prepare, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1000", 600, "green"))
+		storm(w)
+		if w.cloud.rented < 200 {
+			t.Errorf("only %d machines took part", w.cloud.rented)
+		}
+	})
+}
+
 func storm(w *world) {
 	time.Sleep(2 * time.Second)
 	w.mu.Lock()
@@ -527,7 +558,7 @@
 		time.Sleep(time.Duration(500+dice(3000)) * time.Millisecond)
 		switch dice(8) {
 		case 0, 1, 2:
-			s := spec(fmt.Sprintf("job-%d", next), 1+dice(12), teams[dice(3)])
+			s := spec(fmt.Sprintf("job-%d", next), 1+dice(w.stormTasks), teams[dice(3)])
 			s.Spread, s.OneZone = dice(4) == 0, dice(6) == 0
 			s.Urgency = protocol.Urgency(dice(4))
 			next++
@@ -858,24 +889,64 @@
 	simulate(t, 20, func(w *world) {
 		time.Sleep(4 * time.Second)
 		for _, label := range []string{"n0", "n1", "n2"} {
-			w.mu.Lock()
-			n := w.nodes[label].ctl
-			w.mu.Unlock()
-			owned := 0
-			n.do(func() {
-				for _, p := range n.parts {
-					if p.mine {
-						owned++
-					}
-				}
-			})
-			if owned != 1 {
+			if owned := w.owned(label); owned != 1 {
 				t.Errorf("%s owns %d parts", label, owned)
 			}
 		}
 	})
 }
 
+// owned counts a controller's parts.
+func (w *world) owned(label string) int {
+	w.mu.Lock()
+	n := w.nodes[label].ctl
+	w.mu.Unlock()
+	owned := 0
+	n.do(func() {
+		for _, p := range n.parts {
+			if p.mine {
+				owned++
+			}
+		}
+	})
+	return owned
+}
+
+// After a takeover one controller must not own two parts for ever, and giving
+// one back must not cost what runs.
+func TestPartsAreHandedBack(t *testing.T) {
+	simulate(t, 22, func(w *world) {
+		w.runTime = func(string, int, string) time.Duration { return 90 * time.Second }
+		time.Sleep(4 * time.Second)
+		for i, team := range []string{"red", "blue", "green"} {
+			w.submit(spec(fmt.Sprintf("job-%d", i), 4, team))
+		}
+		time.Sleep(25 * time.Second)
+		w.kill("n0")
+		time.Sleep(12 * time.Second)
+		if w.owned("n1")+w.owned("n2") != 3 {
+			t.Error("the dead controller's part was not taken over")
+		}
+		w.start("n0")
+		time.Sleep(25 * time.Second)
+		for _, label := range []string{"n0", "n1", "n2"} {
+			if n := w.owned(label); n != 1 {
+				t.Errorf("%s owns %d parts", label, n)
+			}
+		}
+		w.finish(3 * time.Minute)
+		w.mu.Lock()
+		starts := 0
+		for _, wk := range w.workers {
+			starts += wk.starts
+		}
+		w.mu.Unlock()
+		if starts > 12 {
+			t.Errorf("%d starts of 12 tasks: what ran was lost", starts)
+		}
+	})
+}
+
 // A gang starts together or not at all, and starts again together.
 func TestGangStartsTogether(t *testing.T) {
 	simulate(t, 21, func(w *world) {
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/procon"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/settings"
 )
@@ -160,6 +161,8 @@
 	images       map[string]time.Time
 
 	usedCPUs, usedGPUs, usedMem float64
+	predicted                   *procon.Machine
+	predictedAt                 time.Time
 }
 
 func attemptKey(task string, number uint64) string {
@@ -177,6 +180,7 @@
 
 // resources recounts what the attempts on the machine hold.
 func (m *machine) resources() {
+	m.predicted = nil
 	m.usedCPUs, m.usedGPUs, m.usedMem = 0, 0, 0
 	for _, a := range m.attempts {
 		if a.live() {
@@ -217,10 +221,14 @@
 	mine    bool
 	ready   bool // rebuilt from the records
 	claimed time.Time
+	changed time.Time // when its owner last changed
+	loaded  bool      // some team's work is in it
 	kick    chan struct{}
 	usage   []quota // by team
 	// preempted is when work was last considered for stopping.
 	preempted time.Time
+	// doubt: some chunk's last write went unanswered.
+	doubt bool
 	// order is the jobs as they are served, as of orderedAt.
 	order     []*job
 	orderedAt time.Time
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -71,9 +71,7 @@
 	for c.sleep(summaryEvery) {
 		var body []byte
 		c.do(func() {
-			if c.synced {
-				body, _ = proto.Marshal(c.summary(time.Now()))
-			}
+			body = c.said.latest(c, time.Now())
 		})
 		if body == nil {
 			continue
@@ -86,6 +84,21 @@
 	}
 }
 
+// said is the last summary as it goes to the others: one serves all of them.
+type said struct {
+	body []byte
+	at   time.Time
+}
+
+func (s *said) latest(c *Controller, now time.Time) []byte {
+	if c.synced && (s.body == nil || now.Sub(s.at) >= summaryEvery*4/5) {
+		// A summary always marshals: its texts were checked when they came in.
+		s.body, _ = proto.Marshal(c.summary(now))
+		s.at = now
+	}
+	return s.body
+}
+
 // summary describes this controller and its parts.
 func (c *Controller) summary(now time.Time) *peer.Summary {
 	sum := &peer.Summary{From: c.set.Label, StateSilenceS: c.store.Silence().Seconds(), WriteDemand: c.writeDemand}
--- a/internal/coordination/procon/procon.go
+++ b/internal/coordination/procon/procon.go
@@ -26,6 +26,18 @@
 	Tasks []Task
 	// Limit is the use below which the machine counts as under its limit.
 	Limit float64
+
+	// The machine as it is does not depend on the newcomer, so that many can be
+	// placed against one computation.
+	known           bool
+	use, contention float64
+}
+
+// know computes what does not depend on a newcomer, once.
+func (h Horizon) know(m *Machine) {
+	if !m.known {
+		m.known, m.use, m.contention = true, Use(m.Tasks), h.Contention(m.Tasks)
+	}
 }
 
 // Horizon bounds predictions.
@@ -59,27 +71,32 @@
 // runs in ceil(i) of these seconds, so the sum needs no loop over seconds.
 func (h Horizon) Contention(tasks []Task) float64 {
 	total := Use(tasks)
-	return h.sum(tasks, func(t Task) float64 { return t.Use / total })
+	var sum, longest float64
+	for _, t := range tasks {
+		seconds := h.seconds(t, t.Use/total)
+		sum += seconds
+		longest = max(longest, seconds)
+	}
+	return sum - longest
 }
 
 // EvenContention recomputes a machine's contention as if newcomer had joined
 // and each task got 1/(running tasks + 1).
 func (h Horizon) EvenContention(tasks []Task, newcomer Task) float64 {
-	joined := append(append(make([]Task, 0, len(tasks)+1), tasks...), newcomer)
-	even := 1 / float64(len(joined))
-	return h.sum(joined, func(Task) float64 { return even })
-}
-
-func (h Horizon) sum(tasks []Task, share func(Task) float64) float64 {
-	var sum, longest float64
+	even := 1 / float64(len(tasks)+1)
+	own := h.seconds(newcomer, even)
+	sum, longest := own, own
 	for _, t := range tasks {
-		seconds := math.Ceil(h.Remaining(t, share(t)) - rounding)
+		seconds := h.seconds(t, even)
 		sum += seconds
 		longest = max(longest, seconds)
 	}
 	return sum - longest
 }
 
+// seconds is in how many seconds a task is expected to run.
+func (h Horizon) seconds(t Task, u float64) float64 { return math.Ceil(h.Remaining(t, u) - rounding) }
+
 // Use is the summed use of tasks.
 func Use(tasks []Task) float64 {
 	var sum float64
@@ -91,24 +108,25 @@
 
 // Choose is algorithm 2: the index of the machine to place newcomer on, or -1
 // without candidates. Machines under their limit go first, by contention as it
-// is; if there is none, all compete by even-share contention. The earlier
-// candidate wins a tie.
-func (h Horizon) Choose(machines []Machine, newcomer Task) int {
+// is; if there is none, all compete by even-share contention. tie says whether
+// candidate a goes before b where both are equal.
+func (h Horizon) Choose(machines []*Machine, newcomer Task, tie func(a, b int) bool) int {
 	best, least := -1, math.Inf(1)
+	consider := func(i int, c float64) {
+		if best < 0 || c < least || c == least && tie(i, best) {
+			best, least = i, c
+		}
+	}
 	for i, m := range machines {
-		if Use(m.Tasks) < m.Limit {
-			if c := h.Contention(m.Tasks); c < least {
-				best, least = i, c
-			}
+		if h.know(m); m.use < m.Limit {
+			consider(i, m.contention)
 		}
 	}
 	if best >= 0 {
 		return best
 	}
 	for i, m := range machines {
-		if c := h.EvenContention(m.Tasks, newcomer); c < least {
-			best, least = i, c
-		}
+		consider(i, h.EvenContention(m.Tasks, newcomer))
 	}
 	return best
 }
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -13,7 +13,7 @@
 
 // rent asks the cloud for machines for what waits and finds no room.
 func (c *Controller) rent(views []*view, now time.Time) {
-	scarce := c.scarcity()
+	scarce := c.scarcity(now)
 	for _, v := range views {
 		if v == nil {
 			continue
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -69,7 +69,7 @@
 // unsure lists chunks whose last write went unanswered.
 func (c *Controller) unsure(p *part) []batchChunk {
 	var list []batchChunk
-	if !p.mine || !p.ready {
+	if !p.mine || !p.ready || !p.doubt {
 		return nil
 	}
 	for _, j := range c.jobs {
@@ -81,6 +81,7 @@
 			}
 		}
 	}
+	p.doubt = len(list) > 0
 	return list
 }
 
@@ -280,6 +281,7 @@
 		bc.chunk.ended = append(bc.ended, bc.chunk.ended...)
 		bc.chunk.dirty = true
 		bc.chunk.unsure = bc.chunk.unsure || unknown
+		p.doubt = p.doubt || unknown
 	}
 	if unknown {
 		c.log.Info("commit unanswered", "part", p.index, "reason", err)
@@ -306,7 +308,7 @@
 		default:
 			for _, bc := range b.chunks {
 				if bookkeeping.RunKey(p.index, bc.job.spec.ID, bc.chunk.index) == key {
-					bc.chunk.unsure = true
+					bc.chunk.unsure, p.doubt = true, true
 				}
 			}
 		}
@@ -395,50 +397,76 @@
 	return !s.Spread || in < zoneCeiling(s.Tasks)
 }
 
+// round is one round of placement over a part: its usable machines, and what
+// was worked out once for all tasks that are placed in it.
+type round struct {
+	part   *part
+	now    time.Time
+	scarce scarcity
+	free   []*machine
+	// full are the shapes of tasks that found no room: room only shrinks.
+	full map[shape]bool
+}
+
+// shape is what decides where a task fits, for jobs without wishes that depend
+// on their other tasks.
+type shape struct {
+	cpus, gpus, mem float64
+	zone            string
+	spot            bool
+	types           uint64
+}
+
 // place gives waiting tasks to machines by least contention.
 func (c *Controller) place(p *part, now time.Time) {
-	var free []*machine
+	r := &round{part: p, now: now, scarce: c.scarcity(now), full: map[shape]bool{}}
 	for _, m := range c.machines {
 		if m.rec.Part == p.index && c.usable(m, now) {
-			free = append(free, m)
+			r.free = append(r.free, m)
 		}
 	}
-	if len(free) == 0 {
+	if len(r.free) == 0 {
 		return
 	}
-	scarce := c.scarcity()
-	jobs := slices.DeleteFunc(c.inOrder(p), func(j *job) bool {
-		return len(j.queue) == 0 || j.withdrawn || c.finals[j.spec.ID] != "" || now.Before(j.holdTill)
-	})
-	for _, j := range jobs {
+	for _, j := range c.inOrder(p) {
+		if len(j.queue) == 0 || j.withdrawn || c.finals[j.spec.ID] != "" || now.Before(j.holdTill) {
+			continue
+		}
 		if j.spec.Gang {
-			c.placeGang(p, j, free, scarce, now)
+			c.placeGang(r, j)
 			continue
 		}
-		c.placeTasks(p, j, free, scarce, now)
+		c.placeTasks(r, j)
 	}
 }
 
 // placeTasks places waiting tasks of a job while there is room.
-func (c *Controller) placeTasks(p *part, j *job, free []*machine, scarce scarcity, now time.Time) {
+func (c *Controller) placeTasks(r *round, j *job) {
+	s := j.spec
+	sh := shape{s.CPUs, s.GPUs, s.MemGB, s.Zone, s.Spot, c.typeSet(s)}
+	plain := !s.OneZone && !s.Spread && len(j.failedOn) == 0
+	if plain && r.full[sh] {
+		return
+	}
 	placed := 0
 	for _, task := range j.queue {
-		if !c.withinLimit(p, j) {
+		if !c.withinLimit(r.part, j) {
 			break
 		}
-		m := c.choose(j, free, scarce, now)
+		m := c.choose(r, j)
 		if m == nil {
+			r.full[sh] = r.full[sh] || plain
 			break
 		}
 		placed++
-		c.reserve(p, j, task, j.chunk(task).last+1, m, now)
+		c.reserve(r, j, task, j.chunk(task).last+1, m)
 	}
 	j.queue = j.queue[placed:]
 }
 
 // placeGang reserves room for all tasks of a gang, or for none: half a gang
 // would only wait for the rest on machines that are paid for.
-func (c *Controller) placeGang(p *part, j *job, free []*machine, scarce scarcity, now time.Time) {
+func (c *Controller) placeGang(r *round, j *job) {
 	if len(j.live) > 0 {
 		return // remnants of the last try are still on their machines
 	}
@@ -451,17 +479,17 @@
 	}
 	for _, task := range j.queue {
 		var m *machine
-		if c.withinLimit(p, j) {
-			m = c.choose(j, free, scarce, now)
+		if c.withinLimit(r.part, j) {
+			m = c.choose(r, j)
 		}
 		if m != nil {
-			c.reserve(p, j, task, number, m, now)
+			c.reserve(r, j, task, number, m)
 			continue
 		}
 		for _, a := range j.live {
 			delete(a.machine.attempts, attemptKey(a.wire(), a.number))
 			a.machine.resources()
-			p.usage[j.team].add(j.spec, -1)
+			r.part.usage[j.team].add(j.spec, -1)
 		}
 		clear(j.live)
 		for i, ch := range j.chunks {
@@ -472,29 +500,31 @@
 			}
 			ch.dirty, ch.urgent, ch.last = old.dirty, old.urgent, old.last
 		}
+		// The room that was given back is there for others again.
+		clear(r.full)
 		return
 	}
 	j.queue = nil
 }
 
-func (c *Controller) reserve(p *part, j *job, task int, number uint64, m *machine, now time.Time) {
+func (c *Controller) reserve(r *round, j *job, task int, number uint64, m *machine) {
 	ch := j.chunk(task)
 	ch.last = max(ch.last, number)
 	a := &attempt{job: j, task: task, number: number, machine: m, session: m.session}
 	j.live[task] = a
 	m.attempts[attemptKey(a.wire(), a.number)] = a
-	p.usage[j.team].add(j.spec, 1)
+	r.part.usage[j.team].add(j.spec, 1)
 	m.resources()
-	m.idleSince = now
-	j.touch(task, true, now)
+	m.idleSince = r.now
+	j.touch(task, true, r.now)
 }
 
-// choose picks the machine of least contention among those that fit. The order
-// of the candidates breaks ties: an image at hand first, then the fuller one,
-// so that idle machines can be returned.
-func (c *Controller) choose(j *job, machines []*machine, scarce scarcity, now time.Time) *machine {
+// choose picks the machine of least contention among those that fit. Among
+// equal ones an image at hand goes first, then the fuller one, so that idle
+// machines can be returned.
+func (c *Controller) choose(r *round, j *job) *machine {
 	var fit []*machine
-	for _, m := range machines {
+	for _, m := range r.free {
 		if m.fits(j.spec) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
 			!j.failedOn[m.name] {
 			fit = append(fit, m)
@@ -508,30 +538,38 @@
 	// machines are left alone while a spot one has room, so that they empty and
 	// can be returned.
 	breadth := c.breadth(j.spec)
-	fit = prefer(fit, func(m *machine) bool { return !scarce.contested(m.rec.Type, breadth) })
+	fit = prefer(fit, func(m *machine) bool { return !r.scarce.contested(m.rec.Type, breadth) })
 	fit = prefer(fit, func(m *machine) bool { return m.rec.Spot })
-	slices.SortFunc(fit, func(a, b *machine) int {
-		ai, bi := a.hasImage(j.spec.Image), b.hasImage(j.spec.Image)
-		switch {
-		case ai != bi && ai:
-			return -1
-		case ai != bi:
-			return 1
-		}
-		if fa, fb := a.typ.CPUs-a.usedCPUs, b.typ.CPUs-b.usedCPUs; fa != fb {
-			if fa < fb {
-				return -1
-			}
-			return 1
-		}
-		return strings.Compare(a.name, b.name)
-	})
-	candidates := make([]procon.Machine, len(fit))
+	candidates := make([]*procon.Machine, len(fit))
 	for i, m := range fit {
-		candidates[i] = procon.Machine{Tasks: c.predict(m, now), Limit: c.op.LimitShare * m.typ.CPUs}
+		candidates[i] = c.predicted(m, r.now)
+	}
+	best := c.horizon().Choose(candidates, c.prediction(j.spec, 0), func(a, b int) bool {
+		return fit[a].before(fit[b], j.spec.Image)
+	})
+	return fit[best]
+}
+
+// predicted is what placement compares of a machine, kept until its attempts
+// change or the prediction is old: not every task that is placed must predict
+// every other one.
+func (c *Controller) predicted(m *machine, now time.Time) *procon.Machine {
+	if m.predicted == nil || now.Sub(m.predictedAt) >= orderFor {
+		m.predicted = &procon.Machine{Tasks: c.predict(m, now), Limit: c.op.LimitShare * m.typ.CPUs}
+		m.predictedAt = now
 	}
-	i := c.horizon().Choose(candidates, c.prediction(j.spec, 0))
-	return fit[i]
+	return m.predicted
+}
+
+// before breaks ties between machines of equal contention.
+func (m *machine) before(other *machine, image string) bool {
+	if mine, theirs := m.hasImage(image), other.hasImage(image); mine != theirs {
+		return mine
+	}
+	if mine, theirs := m.typ.CPUs-m.usedCPUs, other.typ.CPUs-other.usedCPUs; mine != theirs {
+		return mine < theirs
+	}
+	return m.name < other.name
 }
 
 // hasImage says whether a machine has an image or is fetching it already.
@@ -549,10 +587,10 @@
 
 // prefer keeps the machines that meet a wish, or all if none does.
 func prefer(list []*machine, wish func(*machine) bool) []*machine {
-	if kept := slices.DeleteFunc(slices.Clone(list), func(m *machine) bool { return !wish(m) }); len(kept) > 0 {
-		return kept
+	if !slices.ContainsFunc(list, wish) {
+		return list
 	}
-	return list
+	return slices.DeleteFunc(list, func(m *machine) bool { return !wish(m) })
 }
 
 // scarcity holds, for each machine type, how few types the choosiest
@@ -566,8 +604,11 @@
 }
 
 // scarcity looks over all unfinished jobs, those of other parts too: machines
-// move between parts.
-func (c *Controller) scarcity() scarcity {
+// move between parts. It is kept for a moment, like the order of jobs.
+func (c *Controller) scarcity(now time.Time) scarcity {
+	if c.scarce != nil && now.Sub(c.scarceAt) < orderFor {
+		return c.scarce
+	}
 	s := scarcity{}
 	for id, j := range c.jobs {
 		if j.withdrawn || c.finals[id] != "" || j.owned && len(j.queue) == 0 {
@@ -580,6 +621,7 @@
 			}
 		}
 	}
+	c.scarce, c.scarceAt = s, now
 	return s
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -76,9 +76,11 @@
 	}
 	// Not only when the session changes: records read at a takeover may hold
 	// attempts of sessions that ended before.
-	for _, a := range m.sorted() {
-		if a.session < r.Session {
-			c.attemptGone(a, "session ended", now)
+	if m.outlived(r.Session) {
+		for _, a := range m.sorted() {
+			if a.session < r.Session {
+				c.attemptGone(a, "session ended", now)
+			}
 		}
 	}
 	m.session, m.sequence = r.Session, r.Sequence
@@ -106,6 +108,16 @@
 	}
 }
 
+// outlived says whether a session has ended the session of some attempt.
+func (m *machine) outlived(session uint64) bool {
+	for _, a := range m.attempts {
+		if a.session < session {
+			return true
+		}
+	}
+	return false
+}
+
 // reconcile compares a report under our token with our attempts.
 func (c *Controller) reconcile(m *machine, r *protocol.Report, now time.Time) {
 	seen := make(map[string]bool, len(r.Tasks))
@@ -334,6 +346,9 @@
 // repeats what direct orders may have missed.
 func (c *Controller) commands(m *machine, now time.Time, repair bool) []protocol.Command {
 	cmds := []protocol.Command{}
+	if !m.awaits() {
+		return cmds
+	}
 	token := c.token(m)
 	for _, a := range m.sorted() {
 		switch {
@@ -369,6 +384,20 @@
 	return cmds[:min(len(cmds), most)]
 }
 
+// awaits says whether there may be anything to command: most reports change
+// nothing.
+func (m *machine) awaits() bool {
+	if len(m.foreign) > 0 {
+		return true
+	}
+	for _, a := range m.attempts {
+		if a.state == attemptCommitted || a.state == attemptOver || a.state == attemptSeen && a.stopping {
+			return true
+		}
+	}
+	return false
+}
+
 // sendOrders sends direct commands, one request at a time for each machine.
 func (c *Controller) sendOrders(m *machine) {
 	if m.sending {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -26,7 +26,7 @@
 // cloud, workers and the network between them, as PROTOCOL describes them. It
 // notes each broken rule where the outside world would see it.
 type world struct {
-	t   *testing.T
+	t   testing.TB
 	ctx context.Context
 	set settings.Settings
 	op  settings.Operator
@@ -43,6 +43,8 @@
 	fails    func(job string, task int, machine string) bool
 	onOrders func(machine string, o *protocol.Orders) // sees orders before they are executed
 	group    sync.WaitGroup
+	// stormTasks is how many tasks a storm's jobs have at most.
+	stormTasks int
 
 	state stateService
 	cloud cloudService
@@ -90,9 +92,9 @@
 	machines map[string]time.Time
 }
 
-func newWorld(t *testing.T, seed uint64) *world {
+func newWorld(t testing.TB, seed uint64) *world {
 	w := &world{t: t, ctx: t.Context(), rng: rand.New(rand.NewPCG(seed, 7)), nodes: map[string]*node{},
-		workers: map[string]*worker{}, jobs: map[string]*userJob{}, op: settings.DefaultOperator()}
+		workers: map[string]*worker{}, jobs: map[string]*userJob{}, op: settings.DefaultOperator(), stormTasks: 12}
 	w.set.Params = settings.Params{Count: 3, Zones: []string{"a", "b"},
 		Teams:         []settings.Team{{Name: "red", CPUs: 16, CPUsMax: 32}, {Name: "blue", CPUs: 16, CPUsMax: 64}, {Name: "green"}},
 		Workers:       settings.Workers{ReportS: 1, LeaseS: 8, CancelS: 25},
@@ -111,9 +113,16 @@
 
 // simulate runs f in a bubble of fake time and ends everything afterwards.
 func simulate(t *testing.T, seed uint64, f func(w *world)) {
+	t.Helper()
+	simulatePrepared(t, seed, func(*world) {}, f)
+}
+
+// simulatePrepared lets prepare change the world before the controllers start.
+func simulatePrepared(t *testing.T, seed uint64, prepare, f func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, seed)
+		prepare(w)
 		ctx, cancel := context.WithCancel(context.Background())
 		w.ctx = ctx
 		for i := range 3 {
