--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -74,7 +74,7 @@
 // spareSlack is how much time a task must have left, beyond its run and the
 // boot, for the leader to wait for spot capacity instead of paying the
 // ordinary price.
-const spareSlack = 25.0
+const spareSlack = 10.0
 
 // cheapest picks the offer that serves a demand at the least price for each of
 // its tasks, and how many of them it holds. Types that work of fewer choices
