--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -533,13 +533,18 @@
 	if len(fit) == 0 {
 		return nil
 	}
-	// Two exceptions of docs/design.md. Types that waiting work of fewer choices
-	// needs are left to it while another has room; and the dearer ordinary
-	// machines are left alone while a spot one has room, so that they empty and
-	// can be returned.
+	// Three exceptions of docs/design.md. Types that waiting work of fewer choices
+	// needs are left to it while another has room; the dearer ordinary machines
+	// are left alone while a spot one has room, so that they empty and can be
+	// returned; and where a fetch is long, machines that have the image go first,
+	// since fetches at a time share their rate.
 	breadth := c.breadth(j.spec)
 	fit = prefer(fit, func(m *machine) bool { return !r.scarce.contested(m.rec.Type, breadth) })
 	fit = prefer(fit, func(m *machine) bool { return m.rec.Spot })
+	long := longFetch * c.estimate(j.spec)
+	fit = prefer(fit, func(m *machine) bool {
+		return j.spec.ImageGB <= long*m.typ.FetchGBPerS || m.hasImage(j.spec.Image)
+	})
 	candidates := make([]*procon.Machine, len(fit))
 	for i, m := range fit {
 		candidates[i] = c.predicted(m, r.now)
@@ -561,6 +566,10 @@
 	return m.predicted
 }
 
+// longFetch is the share of a run from which on fetching its image counts as
+// long.
+const longFetch = 0.15
+
 // before breaks ties between machines of equal contention.
 func (m *machine) before(other *machine, image string) bool {
 	if mine, theirs := m.hasImage(image), other.hasImage(image); mine != theirs {
