--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -122,7 +122,7 @@
 }
 
 func (c *Controller) partSummary(p *part, now time.Time) *peer.PartSummary {
-	ps := &peer.PartSummary{Part: uint32(p.index), Claim: p.version}
+	ps := &peer.PartSummary{Part: uint32(p.index)}
 	type room struct{ cpus, gpus, mem float64 }
 	var coming []*machine
 	left := map[*machine]*room{}
@@ -132,11 +132,8 @@
 		}
 		idle := len(m.attempts) == 0 && len(m.foreign) == 0 && m.fenced && !m.sending
 		st := &peer.MachineStatus{Name: m.name, Heard: m.heard, Idle: idle, Lost: m.lost, Retiring: !m.retiring.IsZero(),
-			Faulty: m.faulty, Addr: m.rec.Addr, Session: m.session,
+			Faulty: m.faulty, Addr: m.rec.Addr,
 			NeverUp: !m.heard && len(m.attempts) == 0 && m.typ != nil && now.Sub(m.ownedSince) > neverUpPause && m.age(now) > c.bootLimit(m.typ)}
-		if m.typ != nil {
-			st.FreeCpus, st.FreeGpus, st.FreeMemGb = m.typ.CPUs-m.usedCPUs, m.typ.GPUs-m.usedGPUs, m.typ.MemGB-m.usedMem
-		}
 		if idle {
 			st.IdleS = now.Sub(m.idleSince).Seconds()
 		}
@@ -146,7 +143,7 @@
 		if m.typ != nil && !m.lost && !m.faulty && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
 			(m.age(now) < usualBoot(m.typ) || now.Sub(m.ownedSince) < c.reportS+time.Second) {
 			coming = append(coming, m)
-			left[m] = &room{st.FreeCpus, st.FreeGpus, st.FreeMemGb}
+			left[m] = &room{m.typ.CPUs - m.usedCPUs, m.typ.GPUs - m.usedGPUs, m.typ.MemGB - m.usedMem}
 		}
 	}
 	claimed := make([]quota, len(p.usage))
@@ -180,8 +177,8 @@
 			continue
 		}
 		ps.Demands = append(ps.Demands, &peer.Demand{Cpus: s.CPUs, Gpus: s.GPUs, MemGb: s.MemGB, Types: s.Types, Zone: s.Zone,
-			Spot: s.Spot, Count: uint32(n), WaitedS: now.Sub(j.received).Seconds(), Urgency: uint32(s.Urgency),
-			EstimateS: c.estimate(s), Image: s.Image, SlackS: j.due().Sub(now).Seconds()})
+			Spot: s.Spot, Count: uint32(n), WaitedS: now.Sub(j.received).Seconds(),
+			EstimateS: c.estimate(s), SlackS: j.due().Sub(now).Seconds()})
 		if len(ps.Demands) >= 200 {
 			break
 		}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/bits"
 	"slices"
 	"strings"
 	"time"
@@ -635,15 +636,7 @@
 }
 
 // breadth is on how many machine types a task could run.
-func (c *Controller) breadth(s *protocol.JobSpec) int {
-	n := 0
-	for i := range c.catalog {
-		if typeFits(s, &c.catalog[i]) {
-			n++
-		}
-	}
-	return n
-}
+func (c *Controller) breadth(s *protocol.JobSpec) int { return bits.OnesCount64(c.typeSet(s)) }
 
 func (c *Controller) horizon() procon.Horizon {
 	return procon.Horizon{MaxS: 3600, OverdueS: c.reportS.Seconds()}
