--- /dev/null
+++ b/internal/bookkeeping/budget_test.go
@@ -0,0 +1,47 @@
+package bookkeeping
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"micaspindle/internal/settings"
+)
+
+// The budget must follow the load: where one controller has all of it, a fixed
+// fifth keeps its starts waiting while the rest goes unused.
+func TestWritesAreSharedByDemand(t *testing.T) {
+	s := NewStore(nil, "state:1", settings.State{RPS: 100, WriteRPS: 25, ValueKB: 8, TxnOps: 12}, 5)
+	for _, tc := range []struct{ own, total, want float64 }{
+		{1, 5, 25 * 1.1 / 5}, // even
+		{10, 10, 25 * 0.78},  // all of it
+		{0, 10, 25 * 0.08},   // the floor
+		{0, 0, 25 * 0.08},
+	} {
+		s.ShareWrites(tc.own, tc.total)
+		if got := float64(s.writes.Limit()); math.Abs(got-tc.want) > 1e-6 {
+			t.Errorf("%v of %v: %v writes a second, want %v", tc.own, tc.total, got, tc.want)
+		}
+		if s.records.Limit() >= s.writes.Limit() {
+			t.Error("records leave nothing to users")
+		}
+	}
+}
+
+func TestDemandFollowsWhatIsAskedFor(t *testing.T) {
+	s := NewStore(nil, "state:1", settings.State{RPS: 100, WriteRPS: 25, ValueKB: 8, TxnOps: 12}, 5)
+	now := time.Now()
+	s.Demand(now)
+	for range 40 {
+		now = now.Add(250 * time.Millisecond)
+		s.budget.wanted.Add(5)
+		s.Demand(now)
+	}
+	if d := s.Demand(now); math.Abs(d-20) > 1 {
+		t.Errorf("demand %v after 20 a second", d)
+	}
+	s.budget.waiting.Add(7)
+	if d := s.Demand(now); d < 26 {
+		t.Errorf("demand %v leaves out what waits", d)
+	}
+}
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -78,6 +78,13 @@
 			return
 		}
 		for _, p := range c.parts {
+			if c.handsBack(p, now) {
+				version := p.version
+				c.lose(p, "handed back")
+				p.claimed = now
+				c.duty.Go(func() { c.releaseClaim(p, version) })
+				continue
+			}
 			if c.wantsPart(p, now) {
 				wishes = append(wishes, wish{bookkeeping.ClaimKey(p.index), p.version})
 			}
@@ -117,7 +124,8 @@
 		return false
 	}
 	if p.version != 0 {
-		return p.owner == c.set.Label || c.takesBack(p, now)
+		// A former life's, or one whose release is not on record yet.
+		return p.owner == c.set.Label && now.Sub(p.claimed) > 4*time.Second
 	}
 	if p.index == c.self {
 		return true
@@ -135,17 +143,19 @@
 	return now.Sub(p.orphan) >= pause
 }
 
-// settleIn is how long a controller must have run, and a part have had its
-// owner, before the part goes back: a roll of restarts must not move it twice.
+// settleIn is how long a controller must have been heard, and a part have had
+// its owner, before the part goes back: a roll of restarts must not move it
+// twice.
 const settleIn = 15 * time.Second
 
-// takesBack says whether a controller that is back claims its own part from
-// the neighbour that took it over. It does so only where that evens the work
-// out, while both are well; what runs goes on, as in any takeover (7).
-func (c *Controller) takesBack(p *part, now time.Time) bool {
-	owner := c.peers[p.owner]
-	if p.index != c.self || !p.loaded || owner == nil || !owner.recent(now) ||
-		now.Sub(c.started) < settleIn || now.Sub(p.changed) < settleIn || now.Sub(c.resigned) < settleIn {
+// handsBack says whether to give a part up to the controller whose own it is,
+// now that it is back. That is done only where it evens the work out.
+func (c *Controller) handsBack(p *part, now time.Time) bool {
+	if !p.mine || !p.ready || !p.loaded || p.index == c.self || p.index >= len(c.labels) || now.Sub(p.claimed) < settleIn {
+		return false
+	}
+	home := c.peers[c.labels[p.index]]
+	if home == nil || !home.recent(now) || now.Sub(home.since) < settleIn {
 		return false
 	}
 	mine, theirs := 0, 0
@@ -153,11 +163,27 @@
 		switch {
 		case q.loaded && q.mine:
 			mine++
-		case q.loaded && q.owner == p.owner:
+		case q.loaded && q.owner == c.labels[p.index]:
 			theirs++
 		}
 	}
-	return theirs-mine >= 2
+	return mine-theirs >= 2
+}
+
+// releaseClaim ends the claim of a part that this controller has stopped acting
+// for. Only an owner that has stopped may do so: were the claim replaced while
+// it still answers workers, its answers would outlast the bound that the next
+// owner counts on (8, 12). If the end goes unrecorded, the part is claimed
+// again like one of a former life.
+func (c *Controller) releaseClaim(p *part, version uint64) {
+	key := bookkeeping.ClaimKey(p.index)
+	_, err := c.store.CommitClaim(c.ctx, &protocol.Transaction{
+		If:   []protocol.Condition{{Key: key, Version: version}},
+		Then: []protocol.Change{{Delete: key}},
+	})
+	if err != nil {
+		c.log.Info("claim not released", "part", p.index, "reason", err)
+	}
 }
 
 func (c *Controller) wantsLead(now time.Time) bool {
@@ -187,7 +213,7 @@
 		return
 	}
 	c.lose(p, "the claim changed hands")
-	p.owner, p.version, p.changed = claim.Owner, e.Version, now
+	p.owner, p.version = claim.Owner, e.Version
 	if claim.Owner == c.set.Label && claim.Nonce == c.nonce {
 		p.mine, p.ready, p.claimed = true, false, now
 		c.log.Info("part claimed", "part", p.index, "token", p.version)
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -73,6 +73,7 @@
 type peerState struct {
 	addr    string
 	heard   time.Time
+	since   time.Time // since when it has been heard without a gap
 	summary *peer.Summary
 }
 
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -221,8 +221,7 @@
 	mine    bool
 	ready   bool // rebuilt from the records
 	claimed time.Time
-	changed time.Time // when its owner last changed
-	loaded  bool      // some team's work is in it
+	loaded  bool // some team's work is in it
 	kick    chan struct{}
 	usage   []quota // by team
 	// preempted is when work was last considered for stopping.
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -52,6 +52,9 @@
 		return
 	}
 	now := time.Now()
+	if !ps.recent(now) {
+		ps.since = now
+	}
 	ps.heard, ps.summary = now, sum
 	// Addresses learnt by others let a new owner fence at once.
 	for _, part := range sum.Parts {
--- /dev/null
+++ b/internal/coordination/policy_test.go
@@ -0,0 +1,150 @@
+package coordination
+
+import (
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/settings"
+)
+
+// owner makes a controller that owns every part, without a network.
+func owner(t *testing.T) (c *Controller, p *part) {
+	w := newWorld(t, 1)
+	w.set.Label = "n0"
+	c = New(t.Context(), &w.set, settings.DefaultOperator(), nil, slog.New(slog.DiscardHandler))
+	c.setCatalog(w.cloud.types)
+	for _, p := range c.parts {
+		p.owner, p.version, p.mine, p.ready = "n0", 1, true, true
+	}
+	return c, c.parts[c.teamPart[c.teamIndex["green"]]]
+}
+
+// up puts a usable machine on record.
+func (c *Controller) up(p *part, name, typ string) *machine {
+	now := time.Now()
+	c.machineRecorded(name, bookkeeping.Machine{Part: p.index, Addr: name + ":1", Type: typ, Zone: "a", Spot: true}, 2, now)
+	m := c.machines[name]
+	m.heard, m.fenced, m.session, m.answeredBy = true, true, 1, now
+	return m
+}
+
+func (c *Controller) take(s *protocol.JobSpec) *job {
+	s.SubmittedMS = time.Now().UnixMilli()
+	c.applyJobRecord(s.ID, bookkeeping.Encode(s))
+	return c.jobs[s.ID]
+}
+
+// By deadline alone, a backlog makes every job late; the largest goes last.
+func TestBacklogPutsTheLargestLast(t *testing.T) {
+	c, p := owner(t)
+	c.up(p, "m-1", "big") // 8 tasks at a time, 6 s each
+	large, small := spec("job-1", 24, "green"), spec("job-2", 8, "green")
+	large.DeadlineS, small.DeadlineS = 20, 21
+	c.take(large)
+	c.take(small)
+	var got []string
+	for _, j := range c.inOrder(p) {
+		got = append(got, j.spec.ID)
+	}
+	if strings.Join(got, " ") != "job-2 job-1" {
+		t.Errorf("order %v: 24 s of work can't all be over in 21 s", got)
+	}
+	c.up(p, "m-2", "big")
+	p.order = nil
+	if first := c.inOrder(p)[0].spec.ID; first != "job-1" {
+		t.Errorf("%s goes first though both can be in time", first)
+	}
+}
+
+// Small tasks must not fill the machines that waiting large ones need while
+// there is another place for them.
+func TestScarceTypesAreLeftToChoosyWork(t *testing.T) {
+	c, p := owner(t)
+	small, big := c.up(p, "m-1", "small"), c.up(p, "m-2", "big")
+	big.images["img"] = time.Now() // it would win the tie
+	s := spec("job-1", 3, "green")
+	s.Urgency = protocol.High
+	easy := c.take(s)
+	s = spec("job-2", 2, "green")
+	s.CPUs = 16 // fits big machines only
+	choosy := c.take(s)
+	c.place(p, time.Now())
+	on := map[*machine]int{}
+	for _, a := range easy.live {
+		on[a.machine]++
+	}
+	if on[small] != 2 || on[big] != 1 {
+		t.Errorf("small tasks on small %d and big %d machines, want 2 and 1", on[small], on[big])
+	}
+	if len(choosy.live) != 1 {
+		t.Errorf("%d large tasks placed", len(choosy.live))
+	}
+}
+
+// A machine that is long overdue may never come up: waiting work must not
+// count on it.
+func TestLateBootsAreNotCountedOn(t *testing.T) {
+	for _, tc := range []struct {
+		age  time.Duration
+		want uint32
+	}{{5 * time.Second, 1}, {time.Minute, 9}} {
+		c, p := owner(t)
+		now := time.Now()
+		c.machineRecorded("m-1", bookkeeping.Machine{Part: p.index, Type: "big", Zone: "a", Spot: true,
+			RentedMS: now.Add(-tc.age).UnixMilli()}, 2, now)
+		c.machines["m-1"].ownedSince = now.Add(-tc.age)
+		c.take(spec("job-1", 9, "green"))
+		count := uint32(0)
+		for _, d := range c.partSummary(p, now).Demands {
+			count += d.Count
+		}
+		if count != tc.want {
+			t.Errorf("rented %s ago: %d tasks find no room, want %d", tc.age, count, tc.want)
+		}
+	}
+}
+
+// Jobs of one team must not each claim all that its limit leaves.
+func TestDemandsShareTheTeamsLimit(t *testing.T) {
+	c, _ := owner(t)
+	p := c.parts[c.teamPart[c.teamIndex["red"]]] // limit 32: eight tasks
+	c.take(spec("job-1", 6, "red"))
+	c.take(spec("job-2", 6, "red"))
+	count := uint32(0)
+	for _, d := range c.partSummary(p, time.Now()).Demands {
+		count += d.Count
+	}
+	if count != 8 {
+		t.Errorf("%d tasks demanded, want 8", count)
+	}
+}
+
+// Where only the team's limit keeps urgent work waiting, the team's own lower
+// work saves and makes room.
+func TestLowerWorkMakesRoomUnderTheTeamsLimit(t *testing.T) {
+	simulate(t, 23, func(w *world) {
+		w.runTime = func(job string, _ int, _ string) time.Duration {
+			if job == "job-1" {
+				return 2 * time.Minute
+			}
+			return 5 * time.Second
+		}
+		time.Sleep(2 * time.Second)
+		low := spec("job-1", 8, "red") // all of its 32 CPUs
+		low.EstimateS, low.DeadlineS, low.CheckpointS, low.SaveS = 120, 600, 5, 1
+		w.submit(low)
+		time.Sleep(30 * time.Second)
+		high := spec("job-2", 2, "red")
+		high.Urgency, high.DeadlineS = protocol.High, 40
+		w.submit(high)
+		time.Sleep(40 * time.Second)
+		if st := w.poll("", "job-2"); st != protocol.StatusDone {
+			t.Errorf("urgent work is %q", st)
+		}
+		w.finish(10 * time.Minute)
+	})
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -342,6 +342,7 @@
 	}
 	s.revision++
 	for _, c := range txn.Then {
+		s.checkClaim(w, c)
 		if c.Delete != "" {
 			delete(s.items, c.Delete)
 			s.history = append(s.history, protocol.Event{Delete: c.Delete, Version: s.revision})
@@ -354,6 +355,22 @@
 	return answer(200, protocol.TransactionResult{Revision: s.revision})
 }
 
+// checkClaim sees that nobody takes a claim that another still holds: its owner
+// might go on answering workers for longer than its successor expects.
+func (s *stateService) checkClaim(w *world, c protocol.Change) {
+	kind, _ := bookkeeping.ParseKey(c.Put)
+	old, held := s.items[c.Put]
+	if !held || kind != bookkeeping.KindClaim && kind != bookkeeping.KindLeader {
+		return
+	}
+	var before, after bookkeeping.Claim
+	must(bookkeeping.Decode(old.Value, &before))
+	must(bookkeeping.Decode(c.Value, &after))
+	if before.Owner != after.Owner {
+		w.breakRule("claim %s of %s taken by %s", c.Put, before.Owner, after.Owner)
+	}
+}
+
 func (s *stateService) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
