--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"log/slog"
 	"testing"
 	"time"
 
 	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/protocol"
-	"micaspindle/internal/settings"
 )
 
 // The benchmarks show how the cost of each duty grows with machines and tasks.
@@ -17,32 +15,20 @@
 // each, running tasks.
 func fleetOf(b *testing.B, machines, running int) *Controller {
 	b.Helper()
-	w := newWorld(b, 1)
-	set := w.set
-	set.Label = "n0"
-	for i := range set.Params.Teams {
-		set.Params.Teams[i] = settings.Team{Name: set.Params.Teams[i].Name}
-	}
-	c := New(b.Context(), &set, settings.DefaultOperator(), nil, slog.New(slog.DiscardHandler))
-	c.setCatalog(w.cloud.types)
+	c, p := owner(b)
 	now := time.Now()
 	c.synced, c.renewed = true, now
 	for _, p := range c.parts {
-		p.owner, p.version, p.mine, p.ready, p.claimed = "n0", 1, true, true, now
+		p.claimed = now
 	}
-	part := c.teamPart[c.teamIndex["green"]]
 	for i := range machines {
-		name := fmt.Sprintf("m-%06d", i)
-		c.machineRecorded(name, bookkeeping.Machine{Part: part, Addr: name + ":9000", Type: "big", Zone: "a", Spot: true}, uint64(i+2), now)
-		c.machines[name].fenced, c.machines[name].heard = true, true
-		c.machines[name].session = 1
-		c.machines[name].answeredBy = now
+		c.up(p, fmt.Sprintf("m-%06d", i), "big")
 	}
 	for i := range machines * running {
 		id := fmt.Sprintf("job-%d", i)
 		c.waiting(id, 1)
 	}
-	c.place(c.parts[part], now)
+	c.place(p, now)
 	for _, m := range c.machines {
 		for _, a := range m.attempts {
 			a.state, a.startedAt, a.status = attemptSeen, now, protocol.TaskRunning
@@ -122,31 +108,30 @@
 	}
 }
 
-// BenchmarkTick: what a quarter of a second costs without any event.
-func BenchmarkTick(b *testing.B) {
+// bySize measures a duty that needs nothing but a fleet at work.
+func bySize(b *testing.B, duty func(c *Controller)) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprintf("machines=%d", n.machines), func(b *testing.B) {
 			c := fleetOf(b, n.machines, n.running)
 			b.ReportAllocs()
 			for b.Loop() {
-				c.tick(time.Now())
+				duty(c)
 			}
 		})
 	}
 }
 
+// BenchmarkTick: what a quarter of a second costs without any event.
+func BenchmarkTick(b *testing.B) {
+	bySize(b, func(c *Controller) { c.tick(time.Now()) })
+}
+
 // BenchmarkSummary: what an owner tells the others twice a second.
 func BenchmarkSummary(b *testing.B) {
-	for _, n := range sizes {
-		b.Run(fmt.Sprintf("machines=%d", n.machines), func(b *testing.B) {
-			c := fleetOf(b, n.machines, n.running)
-			b.ReportAllocs()
-			for b.Loop() {
-				c.said.at = time.Time{}
-				c.said.latest(c, time.Now())
-			}
-		})
-	}
+	bySize(b, func(c *Controller) {
+		c.said.at = time.Time{}
+		c.said.latest(c, time.Now())
+	})
 }
 
 // BenchmarkRebuild: a takeover, from the records of all that runs.
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -125,7 +125,7 @@
 	}
 	if p.version != 0 {
 		// A former life's, or one whose release is not on record yet.
-		return p.owner == c.set.Label && now.Sub(p.claimed) > 4*time.Second
+		return p.owner == c.set.Label && now.Sub(p.claimed) > releaseTime
 	}
 	if p.index == c.self {
 		return true
@@ -148,13 +148,18 @@
 // twice.
 const settleIn = 15 * time.Second
 
+// releaseTime is how long the end of a claim may take to show: longer than a
+// request, so that a part is not claimed again while its release is on its way.
+const releaseTime = 4 * time.Second
+
 // handsBack says whether to give a part up to the controller whose own it is,
 // now that it is back. That is done only where it evens the work out.
 func (c *Controller) handsBack(p *part, now time.Time) bool {
 	if !p.mine || !p.ready || !p.loaded || p.index == c.self || p.index >= len(c.labels) || now.Sub(p.claimed) < settleIn {
 		return false
 	}
-	home := c.peers[c.labels[p.index]]
+	label := c.labels[p.index]
+	home := c.peers[label]
 	if home == nil || !home.recent(now) || now.Sub(home.since) < settleIn {
 		return false
 	}
@@ -163,7 +168,7 @@
 		switch {
 		case q.loaded && q.mine:
 			mine++
-		case q.loaded && q.owner == c.labels[p.index]:
+		case q.loaded && q.owner == label:
 			theirs++
 		}
 	}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -241,9 +241,12 @@
 	c.store.ShareWrites(c.writeDemand, total*float64(len(c.peers)+1)/heard)
 }
 
-func (p *part) wake() {
+func (p *part) wake() { nudge(p.kick) }
+
+// nudge wakes whoever waits for the channel, if it is not awake already.
+func nudge(kick chan struct{}) {
 	select {
-	case p.kick <- struct{}{}:
+	case kick <- struct{}{}:
 	default:
 	}
 }
--- a/internal/coordination/lateness.go
+++ b/internal/coordination/lateness.go
@@ -119,13 +119,8 @@
 	for i := range c.catalog {
 		t := &c.catalog[i]
 		if n := fleet[t.Name]; n > 0 && typeFits(s, t) {
-			each := math.Inf(1)
-			for _, r := range [][2]float64{{s.CPUs, t.CPUs}, {s.GPUs, t.GPUs}, {s.MemGB, t.MemGB}} {
-				if r[0] > 0 {
-					each = min(each, math.Floor((r[1]+epsilon)/r[0]))
-				}
-			}
-			sum += float64(n) * min(each, 1000)
+			each := slots([3]float64{s.CPUs, s.GPUs, s.MemGB}, [3]float64{t.CPUs, t.GPUs, t.MemGB}, manySlots)
+			sum += float64(n * each)
 		}
 	}
 	return sum
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -441,17 +441,13 @@
 
 // howMany is how many of a demand's tasks the given room holds.
 func howMany(d *peer.Demand, cpus, gpus, mem float64) int {
-	return slots(d, cpus, gpus, mem, int(d.Count))
+	return slots([3]float64{d.Cpus, d.Gpus, d.MemGb}, [3]float64{cpus, gpus, mem}, int(d.Count))
 }
 
-// slots is how many tasks like a demand's the given room holds, at most most.
-func slots(d *peer.Demand, cpus, gpus, mem float64, most int) int {
-	for _, r := range [][2]float64{{d.Cpus, cpus}, {d.Gpus, gpus}, {d.MemGb, mem}} {
-		if r[0] > 0 {
-			most = min(most, int((r[1]+epsilon)/r[0]))
-		}
-	}
-	return max(most, 0)
+// perMachine is how many tasks like a demand's an empty machine of a type runs
+// at a time, at most most.
+func perMachine(d *peer.Demand, t *protocol.MachineType, most int) int {
+	return slots([3]float64{d.Cpus, d.Gpus, d.MemGb}, [3]float64{t.CPUs, t.GPUs, t.MemGB}, most)
 }
 
 // moveIdle moves idle machines from parts without fitting work to the part
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -204,6 +204,20 @@
 		(s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
 }
 
+// manySlots bounds what a machine is taken to hold of tasks that need nothing.
+const manySlots = 1000
+
+// slots is how many tasks with the given needs (CPUs, GPUs, memory) a room
+// holds, at most most.
+func slots(need, room [3]float64, most int) int {
+	for i, n := range need {
+		if n > 0 {
+			most = min(most, int((room[i]+epsilon)/n))
+		}
+	}
+	return max(most, 0)
+}
+
 // typeFits says whether a task fits an empty machine of the type, in a zone
 // where the type is offered.
 func typeFits(s *protocol.JobSpec, t *protocol.MachineType) bool {
--- a/internal/coordination/policy_test.go
+++ b/internal/coordination/policy_test.go
@@ -12,7 +12,7 @@
 )
 
 // owner makes a controller that owns every part, without a network.
-func owner(t *testing.T) (c *Controller, p *part) {
+func owner(t testing.TB) (c *Controller, p *part) {
 	w := newWorld(t, 1)
 	w.set.Label = "n0"
 	c = New(t.Context(), &w.set, settings.DefaultOperator(), nil, slog.New(slog.DiscardHandler))
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -65,7 +65,7 @@
 	sum, breadth := 0, c.demandBreadth(d)
 	for o, n := range have {
 		if t := c.types[o.typ]; t != nil && !scarce.contested(o.typ, breadth) && demandAllows(d, o.typ, o.zone, o.spot) {
-			sum += n * slots(d, t.CPUs, t.GPUs, t.MemGB, 1000)
+			sum += n * perMachine(d, t, manySlots)
 		}
 	}
 	return float64(sum)
@@ -86,7 +86,7 @@
 	breadth := c.demandBreadth(d)
 	for i := range c.catalog {
 		t := &c.catalog[i]
-		n := howMany(d, t.CPUs, t.GPUs, t.MemGB)
+		n := perMachine(d, t, int(d.Count))
 		if n == 0 {
 			continue
 		}
@@ -118,7 +118,7 @@
 
 // demandFits says whether a demand's tasks fit an empty machine of a type.
 func demandFits(d *peer.Demand, t *protocol.MachineType) bool {
-	return (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) && slots(d, t.CPUs, t.GPUs, t.MemGB, 1) > 0
+	return (len(d.Types) == 0 || slices.Contains(d.Types, t.Name)) && perMachine(d, t, 1) > 0
 }
 
 // demandBreadth is how many machine types a demand's tasks fit.
@@ -184,10 +184,7 @@
 				c.leader.refused[r.offer] = time.Now().Add(15 * time.Second)
 				delete(c.leader.renting, name)
 			})
-			select {
-			case c.leader.kick <- struct{}{}:
-			default:
-			}
+			nudge(c.leader.kick)
 			return
 		}
 		c.log.Debug("rental unanswered", "request", name, "status", status, "reason", err)
