Pipelines: jobs wait for others, are withdrawn with them, and keep to announced limits

waits_on makes a job wait until the jobs it names are done by their final records. Record sizes, operations and the rate of changes keep to the lower of present and announced limits and follow what the service refuses. Peer messages and the records of jobs without dependencies are unchanged.

--- a/internal/bookkeeping/records.go
+++ b/internal/bookkeeping/records.go
@@ -142,6 +142,49 @@
 	Session  uint64
 }
 
+// Size bounds the size of a run record in the form in which the state service
+// counts it, JSON. It is the sum of the sizes of its parts, so that it can be
+// worked out without making the record.
+func (r *Run) Size() int {
+	size := RunBase
+	for range r.Done {
+		size += RangeSize
+	}
+	for i := range r.Live {
+		a := &r.Live[i]
+		size += AttemptSize(a.Number, a.Machine, a.Session)
+	}
+	return size
+}
+
+const (
+	// RunBase is what a run record takes without tasks: {"d": [], "l": [],
+	// "n": 18446744073709551615}.
+	RunBase = 48
+	// RangeSize is what a range of done tasks takes: [99999, 99999] and a comma.
+	RangeSize = 16
+)
+
+// AttemptSize bounds what a live attempt takes of a run record: [99999,
+// NUMBER, "MACHINE", SESSION] and a comma.
+func AttemptSize(number uint64, machine string, session uint64) int {
+	size := 17 + digits(number) + digits(session) + len(machine)
+	for i := range len(machine) {
+		if c := machine[i]; c < ' ' || c >= 0x7f || c == '"' || c == '\\' || c == '<' || c == '>' || c == '&' || c == ':' || c == ',' {
+			size += 5 // an escape
+		}
+	}
+	return size
+}
+
+func digits(n uint64) int {
+	d := 1
+	for ; n >= 10; n /= 10 {
+		d++
+	}
+	return d
+}
+
 // Encode encodes a record.
 func Encode(v any) msgpack.RawMessage { return protocol.Encode(v) }
 
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -35,8 +35,14 @@
 	ErrTooOld = errors.New("changes no longer kept")
 	// ErrLeaseGone means that a put named an expired lease.
 	ErrLeaseGone = errors.New("no such lease")
+	// ErrTooLarge means that a transaction is more than the service takes; the
+	// same one is not to be repeated.
+	ErrTooLarge = errors.New("state service takes no transaction of this size")
 )
 
+// leaseGone is what the service says where a put names an expired lease.
+const leaseGone = "no such lease"
+
 // Conflict says which conditions of a transaction failed.
 type Conflict struct{ Failed []string }
 
@@ -58,9 +64,37 @@
 	lastFail atomic.Int64
 	start    time.Time
 
-	// TxnOps and ValueBytes are the service's limits.
-	TxnOps     int
-	ValueBytes int
+	// limits are what fits before and after an announced change; below them go
+	// txnOps and valueBytes if the service refuses what they allow.
+	limits     settings.State
+	txnOps     atomic.Int64
+	valueBytes atomic.Int64
+}
+
+// TxnOps is how many changes a transaction may hold.
+func (s *Store) TxnOps() int { return int(s.txnOps.Load()) }
+
+// ValueBytes is how large a value may be, counted as JSON.
+func (s *Store) ValueBytes() int { return int(s.valueBytes.Load()) }
+
+// leastValue is below what no refusal lowers the size of values: a refused
+// claim may be malformed in some other way.
+const leastValue = 256
+
+// shrink takes in that the service found a transaction too large, which nobody
+// had announced: fewer changes next time, until one alone is refused, which
+// tells that its value is too large.
+func (s *Store) shrink(txn *protocol.Transaction) {
+	if n := int64(len(txn.Then)); n > 1 {
+		s.txnOps.Store(min(s.txnOps.Load(), (n+1)/2))
+		return
+	}
+	for _, ch := range txn.Then {
+		if size := int64(protocol.JSONSize(ch.Value)); ch.Put != "" && size > leastValue {
+			s.valueBytes.Store(min(s.valueBytes.Load(), size-1))
+			s.txnOps.Store(int64(s.limits.TxnOps))
+		}
+	}
 }
 
 const (
@@ -72,19 +106,20 @@
 
 // NewStore makes a client for one of count controllers.
 func NewStore(net Doer, addr string, limits settings.State, count int) *Store {
+	lower := limits.Lower()
 	limiter := func(perSecond float64, burst int) *rate.Limiter {
-		return rate.NewLimiter(rate.Limit(perSecond), max(burst, limits.TxnOps))
+		return rate.NewLimiter(rate.Limit(perSecond), max(burst, lower.TxnOps))
 	}
 	share := 1.2 / float64(count)
 	s := &Store{
-		net: net, addr: addr, start: time.Now(),
-		requests:   limiter(limits.RPS*share, int(limits.RPS*share/2)),
-		writes:     limiter(0, int(limits.WriteRPS*share)),
-		records:    limiter(0, int(limits.WriteRPS*share)),
-		budget:     budget{limit: limits.WriteRPS, controllers: float64(count)},
-		TxnOps:     limits.TxnOps,
-		ValueBytes: int(limits.ValueKB * 1024),
+		net: net, addr: addr, start: time.Now(), limits: lower,
+		requests: limiter(lower.RPS*share, int(lower.RPS*share/2)),
+		writes:   limiter(0, int(lower.WriteRPS*share)),
+		records:  limiter(0, int(lower.WriteRPS*share)),
 	}
+	s.budget.init(limits, count)
+	s.txnOps.Store(int64(lower.TxnOps))
+	s.valueBytes.Store(int64(lower.ValueKB * 1024))
 	s.ShareWrites(1, float64(count))
 	return s
 }
@@ -129,6 +164,10 @@
 			return resp.Status, fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 	}
+	if res, ok := out.(*protocol.TransactionResult); ok && resp.Status == 400 {
+		// A refusal without a readable reason is one all the same.
+		_ = protocol.Decode(resp.Body, res)
+	}
 	return resp.Status, nil
 }
 
@@ -260,12 +299,8 @@
 // Commit commits records of an owner or leader.
 func (s *Store) Commit(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
 	if n := len(txn.Then); n > 0 {
-		s.budget.wanted.Add(int64(n))
-		s.budget.waiting.Add(int64(n))
-		err := s.records.WaitN(ctx, n)
-		s.budget.waiting.Add(-int64(n))
-		if err != nil {
-			return 0, fmt.Errorf("%w: %w", ErrRefused, err)
+		if err := s.awaitWrites(ctx, s.records, n); err != nil {
+			return 0, err
 		}
 		s.writes.ReserveN(time.Now(), n)
 	}
@@ -273,6 +308,26 @@
 	return s.commit(ctx, txn)
 }
 
+// CommitAhead commits what users wait for ahead of other records.
+func (s *Store) CommitAhead(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
+	if err := s.awaitWrites(ctx, s.writes, len(txn.Then)); err != nil {
+		return 0, err
+	}
+	s.requests.Reserve()
+	return s.commit(ctx, txn)
+}
+
+// awaitWrites waits until a limiter grants n changes.
+func (s *Store) awaitWrites(ctx context.Context, l *rate.Limiter, n int) error {
+	s.budget.wanted.Add(int64(n))
+	s.budget.waiting.Add(int64(n))
+	defer s.budget.waiting.Add(-int64(n))
+	if err := l.WaitN(ctx, n); err != nil {
+		return fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return nil
+}
+
 // CommitClaim commits a claim ahead of everything else.
 func (s *Store) CommitClaim(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
 	s.requests.Reserve()
@@ -290,12 +345,18 @@
 	var res protocol.TransactionResult
 	status, err := s.do(ctx, requestTimeout, "POST", "/commit", txn, &res)
 	switch {
+	case status == 429 && len(txn.Then) > 0:
+		s.budget.refused.Add(1)
+		return 0, err
 	case err != nil:
 		return 0, err
 	case status == 200:
 		return res.Revision, nil
 	case status == 409:
 		return 0, &Conflict{Failed: res.Failed}
+	case status == 400 && res.Error != leaseGone:
+		s.shrink(txn)
+		return 0, fmt.Errorf("%w: %s", ErrTooLarge, res.Error)
 	}
 	return 0, ErrLeaseGone
 }
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -372,12 +372,11 @@
 	now := time.Now()
 	c.clearPart(p)
 	for id, it := range specs {
-		// An ended job whose attempts are not all proven over.
-		status := c.finals[id]
-		delete(c.finals, id)
-		c.applyJobRecord(id, it.Value)
-		if status != "" {
-			c.finals[id] = status
+		if c.finals[id] == "" {
+			c.applyJobRecord(id, it.Value)
+		} else if c.jobs[id] == nil {
+			// An ended job whose attempts are not all proven over.
+			c.takeUp(id, it.Value)
 		}
 	}
 	for _, j := range c.jobs {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -49,6 +49,7 @@
 	parts    []*part
 	jobs     map[string]*job
 	finals   map[string]string
+	graph    graph
 	machines map[string]*machine
 	gone     map[string]time.Time // machines that were deleted, for late reports
 	types    map[string]*protocol.MachineType
@@ -67,6 +68,11 @@
 	said     said
 	// writeDemand is how many changes a second this controller wants.
 	writeDemand float64
+	// fresh is when a listing or watch was asked for whose answer is taken in:
+	// everything up to then is known.
+	fresh time.Time
+	// listedEnds is when jobs ended, while a listing is taken in.
+	listedEnds map[string]time.Time
 }
 
 // peerState is what another controller last said of itself.
@@ -124,6 +130,7 @@
 	for _, i := range c.teamPart {
 		c.parts[i].loaded = true
 	}
+	c.graph.init(c.runTime)
 	c.leader.kick = make(chan struct{}, 1)
 	c.leader.init()
 	return c
@@ -254,8 +261,10 @@
 // watchDuty follows the shared records: a listing, then changes from there.
 func (c *Controller) watchDuty() {
 	pause := 200 * time.Millisecond
+	wait := min(10*time.Second, c.staleBound()/3)
 	revision := uint64(0)
 	for {
+		asked := time.Now()
 		if revision == 0 {
 			items, rev, err := c.store.List(c.ctx, bookkeeping.WatchPrefix)
 			if err != nil {
@@ -265,12 +274,16 @@
 				}
 				continue
 			}
-			if !c.do(func() { c.applyListing(items, rev) }) {
+			if !c.do(func() {
+				c.applyListing(items, rev)
+				c.fresh = asked
+			}) {
 				return
 			}
 			revision = rev
+			asked = time.Now()
 		}
-		ev, err := c.store.Watch(c.ctx, bookkeeping.WatchPrefix, revision, 10*time.Second)
+		ev, err := c.store.Watch(c.ctx, bookkeeping.WatchPrefix, revision, wait)
 		if err != nil {
 			if c.ctx.Err() != nil {
 				return
@@ -284,10 +297,11 @@
 			}
 			continue
 		}
-		if len(ev.Events) > 0 && !c.do(func() {
+		if !c.do(func() {
 			for _, e := range ev.Events {
 				c.applyEvent(e)
 			}
+			c.fresh = asked
 		}) {
 			return
 		}
@@ -299,6 +313,8 @@
 func (c *Controller) applyListing(items []protocol.Item, revision uint64) {
 	now := time.Now()
 	machines, claims := map[string]bool{}, map[string]bool{}
+	c.listedEnds = map[string]time.Time{}
+	defer func() { c.listedEnds = nil }()
 	// Final states go first, so that ended jobs are not taken up.
 	for _, it := range items {
 		if kind, id := bookkeeping.ParseKey(it.Key); kind == bookkeeping.KindFinal {
@@ -401,25 +417,38 @@
 	if c.jobs[id] != nil || c.finals[id] != "" {
 		return
 	}
+	if j := c.takeUp(id, raw); j != nil {
+		c.graph.add(j, func(dep string) (string, time.Time) { return c.finals[dep], c.listedEnds[dep] })
+		c.wakeDoomed()
+	}
+}
+
+// takeUp makes a job of its record.
+func (c *Controller) takeUp(id string, raw []byte) *job {
 	spec := new(protocol.JobSpec)
 	if err := bookkeeping.Decode(raw, spec); err != nil || spec.Tasks < 1 {
 		c.log.Error("bad job record", "job", id, "reason", err)
-		return
+		return nil
 	}
 	team, ok := c.teamIndex[spec.Team]
 	if !ok {
 		c.log.Error("job of a team that is not in the settings", "job", id, "team", spec.Team)
-		return
+		return nil
 	}
-	now := time.Now()
-	age := time.Duration(max(0, now.UnixMilli()-spec.SubmittedMS)) * time.Millisecond
-	j := &job{spec: spec, part: c.teamPart[team], team: team, received: now.Add(-age)}
+	j := &job{spec: spec, part: c.teamPart[team], team: team, received: steady(spec.SubmittedMS, time.Now())}
 	c.jobs[id] = j
 	if p := c.parts[j.part]; p.mine && p.ready {
 		j.own()
 		p.order = nil
 		p.wake()
 	}
+	return j
+}
+
+// steady is the moment on the steady clock of a wall clock's reading that lies
+// in the past.
+func steady(ms int64, now time.Time) time.Time {
+	return now.Add(-time.Duration(max(0, now.UnixMilli()-ms)) * time.Millisecond)
 }
 
 // own prepares a job for its part's owner, with all tasks waiting.
@@ -446,6 +475,9 @@
 		c.log.Error("bad final record", "job", id, "reason", err)
 		return
 	}
+	if c.listedEnds != nil {
+		c.listedEnds[id] = steady(f.AtMS, time.Now())
+	}
 	c.setFinal(id, f.Status)
 }
 
@@ -455,6 +487,13 @@
 		return
 	}
 	c.finals[id] = status
+	for _, j := range c.graph.ended(id, status == protocol.StatusDone, time.Now()) {
+		if p := c.parts[j.part]; p.mine && p.ready {
+			p.order = nil
+			p.wake()
+		}
+	}
+	c.wakeDoomed()
 	j := c.jobs[id]
 	if j == nil {
 		return
@@ -476,6 +515,15 @@
 	c.dropIfOver(j)
 }
 
+// wakeDoomed lets the owners of jobs that are to be withdrawn do so.
+func (c *Controller) wakeDoomed() {
+	if len(c.graph.doomed) > 0 {
+		for _, p := range c.parts {
+			p.wake()
+		}
+	}
+}
+
 // dropIfOver forgets a job that has ended and holds nothing any more.
 func (c *Controller) dropIfOver(j *job) {
 	if c.finals[j.spec.ID] == "" || len(j.live) > 0 {
--- a/internal/coordination/lateness.go
+++ b/internal/coordination/lateness.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"micaspindle/internal/protocol"
+	"micaspindle/internal/settings"
 )
 
 // contest is work that competes for the same machines: one urgency, and the
@@ -29,8 +30,8 @@
 	late := map[*job]int{}
 	contests := map[contest][]*job{}
 	for _, j := range list {
-		if len(j.queue) > 0 && j.spec.DeadlineS > 0 && now.Sub(j.received).Seconds() < starved*j.spec.DeadlineS {
-			k := contest{j.spec.Urgency, c.typeSet(j.spec)}
+		if span, ok := c.span(j); ok && len(j.queue) > 0 && now.Sub(j.received).Seconds() < starved*span {
+			k := contest{j.urgency(), c.typeSet(j.spec)}
 			contests[k] = append(contests[k], j)
 		}
 	}
@@ -51,6 +52,19 @@
 	return late
 }
 
+// span is how many seconds a job has from its submission until it should be
+// done, at least its own run: a job that needs it may come when it is too late.
+func (c *Controller) span(j *job) (float64, bool) {
+	due, ok := j.deadline()
+	return max(due.Sub(j.received).Seconds(), c.estimate(j.spec)), ok
+}
+
+// runTime predicts how long a job takes from its first start to its end.
+func (c *Controller) runTime(j *job) time.Duration {
+	rounds := max(1, math.Ceil(float64(j.spec.Tasks)/c.atOnce(j)))
+	return settings.Seconds(c.estimate(j.spec) * rounds)
+}
+
 // backlog is work that queues for one thing, in seconds of all of it.
 type backlog struct {
 	jobs  []*job
@@ -77,7 +91,8 @@
 	var dropped []*job
 	machines, teams := &backlog{}, map[int]*backlog{}
 	for _, j := range jobs {
-		left := j.spec.DeadlineS*times - now.Sub(j.received).Seconds()
+		span, _ := c.span(j)
+		left := span*times - now.Sub(j.received).Seconds()
 		estimate := c.estimate(j.spec)
 		alone := estimate * c.rounds(j)
 		if alone > left {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -151,9 +151,13 @@
 	if !errors.Is(err, bookkeeping.ErrNotFound) {
 		return
 	}
+	value := bookkeeping.Encode(cat)
+	if protocol.JSONSize(value) > c.store.ValueBytes() {
+		return // the record only helps while the cloud is down
+	}
 	_, err = c.store.Commit(c.ctx, &protocol.Transaction{
 		If:   []protocol.Condition{{Key: bookkeeping.CatalogKey, Version: 0}},
-		Then: []protocol.Change{{Put: bookkeeping.CatalogKey, Value: bookkeeping.Encode(cat)}},
+		Then: []protocol.Change{{Put: bookkeeping.CatalogKey, Value: value}},
 	})
 	if err != nil {
 		c.log.Debug("catalog not recorded", "reason", err)
@@ -330,9 +334,10 @@
 
 // recordMachines writes the assignment of new machines.
 func (c *Controller) recordMachines(names []string, rec bookkeeping.Machine) {
-	for start := 0; start < len(names); start += c.store.TxnOps {
-		group := names[start:min(start+c.store.TxnOps, len(names))]
+	for len(names) > 0 {
+		var group []string
 		for {
+			group = names[:min(c.store.TxnOps(), len(names))]
 			version := uint64(0)
 			c.do(func() {
 				if c.leader.mine {
@@ -368,6 +373,7 @@
 				return
 			}
 		}
+		names = names[len(group):]
 	}
 }
 
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -62,9 +62,11 @@
 	dirty   bool      // differs from its record
 	urgent  bool      // holds starts that wait for the record
 	since   time.Time // when it became dirty
-	unsure  bool      // a commit went unanswered: read the key before writing
-	gen     uint64    // counts changes, to tell what a commit has missed
-	ended   []*attempt
+	// oversize: it does not fit the state service's limit until tasks end.
+	oversize bool
+	unsure   bool   // a commit went unanswered: read the key before writing
+	gen      uint64 // counts changes, to tell what a commit has missed
+	ended    []*attempt
 }
 
 // job is an unfinished job. Only its part's owner fills in the second half.
@@ -87,6 +89,36 @@
 	ranS      map[string][]float64 // run times of done tasks, by machine
 	holdTill  time.Time
 	running   int
+
+	// What the graph of dependencies says of the job, on every controller.
+	blocked  bool             // has dependencies that are not done
+	readyAt  time.Time        // when the last of them was; zero if there were none
+	raised   protocol.Urgency // the highest among the jobs that need it
+	neededBy time.Time        // when it must be done for them to be in time; zero if no matter
+}
+
+// urgency is the highest among the job and those that need it.
+func (j *job) urgency() protocol.Urgency { return max(j.spec.Urgency, j.raised) }
+
+// since is when the job could first have started.
+func (j *job) since() time.Time {
+	if j.readyAt.After(j.received) {
+		return j.readyAt
+	}
+	return j.received
+}
+
+// deadline is the latest finish at which the job and those that need it can
+// still be in time, if any of them has a deadline.
+func (j *job) deadline() (time.Time, bool) {
+	if j.spec.DeadlineS <= 0 {
+		return j.neededBy, !j.neededBy.IsZero()
+	}
+	own := j.received.Add(settings.Seconds(j.spec.DeadlineS))
+	if !j.neededBy.IsZero() && j.neededBy.Before(own) {
+		return j.neededBy, true
+	}
+	return own, true
 }
 
 func (j *job) chunk(task int) *chunk {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -180,7 +180,7 @@
 			continue
 		}
 		ps.Demands = append(ps.Demands, &peer.Demand{Cpus: s.CPUs, Gpus: s.GPUs, MemGb: s.MemGB, Types: s.Types, Zone: s.Zone,
-			Spot: s.Spot, Count: uint32(n), WaitedS: now.Sub(j.received).Seconds(),
+			Spot: s.Spot, Count: uint32(n), WaitedS: now.Sub(j.since()).Seconds(),
 			EstimateS: c.estimate(s), SlackS: j.due().Sub(now).Seconds()})
 		if len(ps.Demands) >= 200 {
 			break
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -67,15 +67,15 @@
 // mustStart says whether a job can't wait any longer. Where the team's own
 // lower work is in the way, that work has to save and end first.
 func (c *Controller) mustStart(p *part, j *job, now time.Time) bool {
-	waited := now.Sub(j.received)
-	if j.spec.DeadlineS <= 0 {
-		return waited > urgentPatience
+	due, ok := j.deadline()
+	if !ok {
+		return now.Sub(j.since()) > urgentPatience
 	}
 	moment := lastMoment
 	if !c.withinLimit(p, j) {
 		moment = quotaMoment
 	}
-	spare := j.due().Sub(now) - time.Duration(c.estimate(j.spec)*float64(time.Second))
+	spare := due.Sub(now) - time.Duration(c.estimate(j.spec)*float64(time.Second))
 	return spare >= 0 && spare < moment
 }
 
@@ -86,7 +86,7 @@
 	room := quota{t.CPUsMax - p.usage[j.team].cpus, t.GPUsMax - p.usage[j.team].gpus}
 	var victims []*attempt
 	for _, lower := range p.order {
-		if lower.team != j.team || lower.spec.Urgency >= s.Urgency {
+		if lower.team != j.team || lower.urgency() >= j.urgency() {
 			continue
 		}
 		for _, a := range lower.live {
@@ -129,7 +129,7 @@
 
 // mayPreempt is PROTOCOL's rule of who may be stopped for whom.
 func (c *Controller) mayPreempt(p *part, j *job, guaranteed bool, victim *job) bool {
-	if victim.spec.Urgency < j.spec.Urgency {
+	if victim.urgency() < j.urgency() {
 		return true
 	}
 	t, u := c.set.Params.Teams[victim.team], p.usage[victim.team]
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -24,6 +24,8 @@
 	finals []*job
 	bumps  []*machine
 	starts []*attempt
+	// doomed are the jobs that the batch withdraws; it then holds nothing else.
+	doomed []*job
 }
 
 type batchChunk struct {
@@ -57,7 +59,11 @@
 				break
 			}
 			ctx, cancel := context.WithTimeout(c.ctx, 10*time.Second)
-			rev, err := c.store.Commit(ctx, &b.txn)
+			commit := c.store.Commit
+			if len(b.doomed) > 0 {
+				commit = c.store.CommitAhead
+			}
+			rev, err := commit(ctx, &b.txn)
 			cancel()
 			c.do(func() { c.committed(p, b, rev, err) })
 			if err != nil && !c.sleep(150*time.Millisecond) {
@@ -123,11 +129,24 @@
 	if !p.mine || !p.ready || now.Sub(c.renewed) > c.op.ClaimTTL+10*time.Second {
 		return nil
 	}
-	c.place(p, now)
-	c.preempt(p, now)
 	b := &batch{}
 	b.txn.If = append(b.txn.If, protocol.Condition{Key: bookkeeping.ClaimKey(p.index), Version: p.version})
-	ops := c.store.TxnOps
+	ops := c.store.TxnOps()
+	// Users were told already that what these jobs need is withdrawn (21, 22).
+	for _, j := range c.graph.doomed {
+		if len(b.txn.Then) == ops {
+			break
+		}
+		if j.part == p.index {
+			withdrawal(&b.txn, j.spec.ID, now)
+			b.doomed = append(b.doomed, j)
+		}
+	}
+	if len(b.doomed) > 0 {
+		return b
+	}
+	c.place(p, now)
+	c.preempt(p, now)
 	size := 0
 	for _, j := range c.inOrder(p) {
 		if j.finishing && c.finals[j.spec.ID] == "" {
@@ -161,6 +180,20 @@
 	id := j.spec.ID
 	key := bookkeeping.RunKey(p.index, id, ch.index)
 	run := j.record(ch)
+	if limit := c.store.ValueBytes(); run.Size() > limit {
+		// Written under higher limits, or the service takes less than it said.
+		// What only waits for the record can wait elsewhere; the rest is written
+		// when enough of its tasks have ended.
+		c.unreserve(j, ch)
+		if run = j.record(ch); run.Size() > limit {
+			if !ch.oversize {
+				c.log.Error("run record is too large for now", "job", id, "chunk", ch.index, "size", run.Size(), "limit", limit)
+			}
+			ch.oversize = true
+			return 0
+		}
+	}
+	ch.oversize = false
 	bc := batchChunk{job: j, chunk: ch, gen: ch.gen, ended: ch.ended}
 	ch.ended = nil
 	if c.finals[id] != "" && len(run.Live) == 0 {
@@ -198,6 +231,31 @@
 	return 2 * len(value)
 }
 
+// unreserve gives up the attempts of a chunk that are not on record.
+func (c *Controller) unreserve(j *job, ch *chunk) {
+	now := time.Now()
+	for _, a := range j.mates() {
+		if a.state == attemptReserved && a.task/bookkeeping.ChunkTasks == ch.index {
+			c.attemptGone(a, "no room in the record", now)
+		}
+	}
+}
+
+// recordable says whether the record of a chunk has room for one more attempt.
+// It assumes the worst of what the chunk's other tasks take.
+func (c *Controller) recordable(j *job, task int, number uint64, m *machine) bool {
+	size := bookkeeping.RunBase + bookkeeping.AttemptSize(number, m.name, m.session)
+	index := task / bookkeeping.ChunkTasks
+	for t := index * bookkeeping.ChunkTasks; t < min((index+1)*bookkeeping.ChunkTasks, j.spec.Tasks); t++ {
+		if a := j.live[t]; a != nil && a.live() {
+			size += bookkeeping.AttemptSize(a.number, a.machine.name, a.session)
+		} else if j.done[t] && (t%bookkeeping.ChunkTasks == 0 || !j.done[t-1]) {
+			size += bookkeeping.RangeSize
+		}
+	}
+	return size <= c.store.ValueBytes()
+}
+
 // addFinal makes a job done and removes its run records if they fit in.
 func (c *Controller) addFinal(b *batch, p *part, j *job, now time.Time, ops int) {
 	if len(b.txn.Then) >= ops {
@@ -265,6 +323,9 @@
 			c.machineRecorded(m.name, m.rec, rev, now)
 		}
 	}
+	for _, j := range b.doomed {
+		c.setFinal(j.spec.ID, protocol.StatusWithdrawn)
+	}
 	for _, j := range b.finals {
 		c.log.Info("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks, "after", now.Sub(j.received),
 			"due_s", j.spec.DeadlineS)
@@ -336,7 +397,7 @@
 	}
 	list := []*job{}
 	for _, j := range c.jobs {
-		if j.part == p.index && j.owned {
+		if j.part == p.index && j.owned && !j.blocked {
 			list = append(list, j)
 		}
 	}
@@ -348,8 +409,8 @@
 	})
 	late := c.grade(p, list, now)
 	slices.SortStableFunc(list, func(a, b *job) int {
-		if a.spec.Urgency != b.spec.Urgency {
-			return int(b.spec.Urgency) - int(a.spec.Urgency)
+		if ua, ub := a.urgency(), b.urgency(); ua != ub {
+			return int(ub) - int(ua)
 		}
 		return late[a] - late[b]
 	})
@@ -363,10 +424,10 @@
 // due is when a job should be done; one without a deadline queues as if it
 // had a long one.
 func (j *job) due() time.Time {
-	if j.spec.DeadlineS > 0 {
-		return j.received.Add(time.Duration(j.spec.DeadlineS * float64(time.Second)))
+	if at, ok := j.deadline(); ok {
+		return at
 	}
-	return j.received.Add(time.Hour)
+	return j.since().Add(time.Hour)
 }
 
 // withinLimit says whether one more task keeps the team within its limit.
@@ -459,8 +520,12 @@
 			r.full[sh] = r.full[sh] || plain
 			break
 		}
+		number := j.chunk(task).last + 1
+		if !c.recordable(j, task, number, m) {
+			break
+		}
 		placed++
-		c.reserve(r, j, task, j.chunk(task).last+1, m)
+		c.reserve(r, j, task, number, m)
 	}
 	j.queue = j.queue[placed:]
 }
@@ -483,7 +548,7 @@
 		if c.withinLimit(r.part, j) {
 			m = c.choose(r, j)
 		}
-		if m != nil {
+		if m != nil && c.recordable(j, task, number, m) {
 			c.reserve(r, j, task, number, m)
 			continue
 		}
@@ -621,7 +686,7 @@
 	}
 	s := scarcity{}
 	for id, j := range c.jobs {
-		if j.withdrawn || c.finals[id] != "" || j.owned && len(j.queue) == 0 {
+		if j.withdrawn || j.blocked || c.finals[id] != "" || j.owned && len(j.queue) == 0 {
 			continue
 		}
 		n := c.breadth(j.spec)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -102,10 +103,10 @@
 	if err == nil {
 		spec, err = sub.Check()
 	}
-	if err != nil && (sub.ID == nil || !protocol.ValidID(*sub.ID)) {
+	id := protocol.SubmissionID(req.Body)
+	if id == "" {
 		return refuse(400, oneLine(err), 0)
 	}
-	id := *sub.ID
 	// A known id is looked up before anything else is said about the body, so
 	// that a repeat of an accepted job never gets 400 or 422.
 	known, catalog := false, 0
@@ -117,7 +118,18 @@
 			refusal = c.impossible(spec)
 		}
 	})
-	if known || err != nil || refusal != "" {
+	var value []byte
+	var unread error
+	if spec != nil && refusal == "" && !known {
+		spec.SubmittedMS = time.Now().UnixMilli()
+		value = bookkeeping.Encode(spec)
+		if size, limit := protocol.JSONSize(value), c.store.ValueBytes(); size > limit {
+			refusal = tooLarge(size, limit)
+		} else if catalog > 0 {
+			refusal, unread = c.unaccepted(ctx, spec)
+		}
+	}
+	if known || err != nil || refusal != "" || unread != nil {
 		st, found, rerr := c.status(ctx, id)
 		switch {
 		case rerr != nil:
@@ -128,6 +140,8 @@
 			return refuse(400, oneLine(err), 0)
 		case refusal != "":
 			return refuse(422, refusal, 0)
+		case unread != nil:
+			return unavailable(unread)
 		}
 	}
 	if catalog == 0 {
@@ -136,11 +150,6 @@
 	if c.store.Down() {
 		return refuse(503, "state service unavailable", 1)
 	}
-	spec.SubmittedMS = time.Now().UnixMilli()
-	value := bookkeeping.Encode(spec)
-	if len(value) > c.store.ValueBytes {
-		return refuse(422, "job is too large to record", 0)
-	}
 	_, err = c.store.UserCommit(ctx, &protocol.Transaction{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: 0}},
 		Then: []protocol.Change{{Put: bookkeeping.JobKey(id), Value: value}},
@@ -153,6 +162,8 @@
 			return unavailable(rerr)
 		}
 		return statusResponse(200, st)
+	case errors.Is(err, bookkeeping.ErrTooLarge):
+		return refuse(422, tooLarge(protocol.JSONSize(value), c.store.ValueBytes()), 0)
 	case err != nil:
 		return unavailable(err)
 	}
@@ -160,6 +171,54 @@
 	return statusResponse(201, protocol.JobStatus{ID: id, Status: protocol.StatusQueued})
 }
 
+func tooLarge(size, limit int) string {
+	return fmt.Sprintf("job is too large to record: %d bytes of at most %d", size, limit)
+}
+
+// lookUpTime bounds how long a submission's dependencies are looked up.
+const lookUpTime = 3 * time.Second
+
+// unaccepted says why a job can't depend on what it names, or nothing. Being
+// accepted is for ever, so memory proves it; what memory lacks is read, since
+// another controller may have accepted it a moment ago (20).
+func (c *Controller) unaccepted(ctx context.Context, s *protocol.JobSpec) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookUpTime)
+	defer cancel()
+	for _, id := range s.Dependencies {
+		if id == s.ID || !protocol.ValidID(id) {
+			return "depends on a job that was never accepted", nil
+		}
+		known, service := false, false
+		c.do(func() {
+			j := c.jobs[id]
+			// Of a withdrawn job, the record tells whether it was a service.
+			known = j != nil || c.finals[id] == protocol.StatusDone
+			service = j != nil && j.spec.Standing
+		})
+		if !known {
+			if c.store.Down() {
+				return "", bookkeeping.ErrRefused
+			}
+			item, err := c.store.UserGet(ctx, bookkeeping.JobKey(id))
+			switch {
+			case errors.Is(err, bookkeeping.ErrNotFound):
+				return "depends on a job that was never accepted", nil
+			case err != nil:
+				return "", err
+			}
+			var spec protocol.JobSpec
+			if err := bookkeeping.Decode(item.Value, &spec); err != nil {
+				return "", err
+			}
+			service = spec.Standing
+		}
+		if service {
+			return "depends on a service, which is never done", nil
+		}
+	}
+	return "", nil
+}
+
 // impossible says why a job can never run, or nothing.
 func (c *Controller) impossible(s *protocol.JobSpec) string {
 	team, ok := c.teamIndex[s.Team]
@@ -200,7 +259,7 @@
 	if known {
 		item, err := c.store.UserGet(ctx, bookkeeping.FinalKey(id))
 		if errors.Is(err, bookkeeping.ErrNotFound) {
-			return st, true, nil
+			return c.unfinished(ctx, st)
 		}
 		if err != nil {
 			return st, false, err
@@ -231,9 +290,75 @@
 		}
 		known = c.describe(&st)
 	})
+	if known && st.Status != protocol.StatusDone && st.Status != protocol.StatusWithdrawn {
+		return c.unfinished(ctx, st)
+	}
 	return st, known, nil
 }
 
+// staleBound is how old what this controller knows may be for it to call a job
+// with unfinished dependencies queued: the user of one of them may have been
+// told since that it is withdrawn (22).
+func (c *Controller) staleBound() time.Duration { return max(3*time.Second, c.cancelS-2*margin) }
+
+// unfinished answers for a job that is not on record as ended. One that is to
+// be withdrawn, since something that it needs was, is withdrawn first: the
+// answer must come from a record, not from what only this controller knows (23).
+func (c *Controller) unfinished(ctx context.Context, st protocol.JobStatus) (protocol.JobStatus, bool, error) {
+	doomed, stale := false, false
+	c.do(func() {
+		j := c.jobs[st.ID]
+		doomed = c.graph.doomed[st.ID] != nil
+		stale = j != nil && j.blocked && (time.Since(c.fresh) > c.staleBound() || c.graph.uncertain(st.ID))
+	})
+	switch {
+	case doomed:
+		status, err := c.withdrawNow(ctx, st.ID)
+		return protocol.JobStatus{ID: st.ID, Status: status}, err == nil, err
+	case stale:
+		return st, false, fmt.Errorf("%w: changes not followed", bookkeeping.ErrRefused)
+	}
+	return st, true, nil
+}
+
+// withdrawal adds to a transaction what makes a job withdrawn, unless it has
+// ended.
+func withdrawal(txn *protocol.Transaction, id string, now time.Time) {
+	key := bookkeeping.FinalKey(id)
+	txn.If = append(txn.If, protocol.Condition{Key: key, Version: 0})
+	txn.Then = append(txn.Then, protocol.Change{Put: key,
+		Value: bookkeeping.Encode(bookkeeping.Final{Status: protocol.StatusWithdrawn, AtMS: now.UnixMilli()})})
+}
+
+// withdrawNow withdraws a job for somebody who waits for the answer, and
+// returns how the job ended.
+func (c *Controller) withdrawNow(ctx context.Context, id string) (string, error) {
+	var txn protocol.Transaction
+	withdrawal(&txn, id, time.Now())
+	_, err := c.store.UserCommit(ctx, &txn)
+	var conflict *bookkeeping.Conflict
+	switch {
+	case err == nil:
+		c.do(func() { c.setFinal(id, protocol.StatusWithdrawn) })
+		return protocol.StatusWithdrawn, nil
+	case !errors.As(err, &conflict):
+		return "", err
+	}
+	item, err := c.store.UserGet(ctx, bookkeeping.FinalKey(id))
+	if err != nil {
+		return "", err
+	}
+	status := ""
+	c.do(func() {
+		c.applyFinalRecord(id, item.Value)
+		status = c.finals[id]
+	})
+	if status == "" {
+		return "", fmt.Errorf("%w: final record can't be read", bookkeeping.ErrUnknown)
+	}
+	return status, nil
+}
+
 // describe fills in what memory knows of a job.
 func (c *Controller) describe(st *protocol.JobStatus) bool {
 	if f := c.finals[st.ID]; f != "" {
@@ -283,30 +408,17 @@
 	if !protocol.ValidID(id) {
 		return refuse(404, "no such job", 0)
 	}
-	for range 2 {
-		st, found, err := c.status(ctx, id)
-		switch {
-		case err != nil:
-			return unavailable(err)
-		case !found:
-			return refuse(404, "no such job", 0)
-		case st.Status == protocol.StatusDone || st.Status == protocol.StatusWithdrawn:
-			return statusResponse(200, protocol.JobStatus{ID: id, Status: st.Status})
-		}
-		key := bookkeeping.FinalKey(id)
-		value := bookkeeping.Encode(bookkeeping.Final{Status: protocol.StatusWithdrawn, AtMS: time.Now().UnixMilli()})
-		_, err = c.store.UserCommit(ctx, &protocol.Transaction{
-			If:   []protocol.Condition{{Key: key, Version: 0}},
-			Then: []protocol.Change{{Put: key, Value: value}},
-		})
-		var conflict *bookkeeping.Conflict
-		switch {
-		case err == nil:
-			c.do(func() { c.applyFinalRecord(id, value) })
-			return statusResponse(200, protocol.JobStatus{ID: id, Status: protocol.StatusWithdrawn})
-		case !errors.As(err, &conflict):
+	st, found, err := c.status(ctx, id)
+	switch {
+	case err != nil:
+		return unavailable(err)
+	case !found:
+		return refuse(404, "no such job", 0)
+	}
+	if st.Status != protocol.StatusDone && st.Status != protocol.StatusWithdrawn {
+		if st.Status, err = c.withdrawNow(ctx, id); err != nil {
 			return unavailable(err)
 		}
 	}
-	return refuse(503, "job is changing", 1)
+	return statusResponse(200, protocol.JobStatus{ID: id, Status: st.Status})
 }
--- a/internal/protocol/check.go
+++ b/internal/protocol/check.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
@@ -141,4 +142,27 @@
 	return buf.Bytes()
 }
 
+// JSONSize bounds the size of an encoded value in the form in which the
+// protocol counts sizes, JSON, however it is spaced and escaped.
+func JSONSize(raw []byte) int {
+	var v any
+	if err := msgpack.Unmarshal(raw, &v); err != nil {
+		return len(raw)
+	}
+	text, err := json.Marshal(v)
+	if err != nil {
+		return len(raw)
+	}
+	size := len(text) + 32 // whole amounts may be written with ".0"
+	for _, c := range text {
+		switch {
+		case c == ',' || c == ':':
+			size++
+		case c >= 0x80:
+			size += 2 // as an escape
+		}
+	}
+	return size
+}
+
 func finite(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -30,6 +31,21 @@
 	CheckpointS *float64 `msgpack:"snapshot_every_s"`
 	SaveS       *float64 `msgpack:"snapshot_s"`
 	DeadlineS   *float64 `msgpack:"due_s"`
+	// Dependencies are the jobs that must be done before a task of this one
+	// starts.
+	Dependencies []*string `msgpack:"waits_on"`
+}
+
+// SubmissionID finds the job id in a body that is not a valid submission, or
+// returns nothing.
+func SubmissionID(body []byte) string {
+	var s struct {
+		ID string `msgpack:"name_id"`
+	}
+	if Decode(body, &s) != nil || !ValidID(s.ID) {
+		return ""
+	}
+	return s.ID
 }
 
 // Urgency orders jobs; higher goes first.
@@ -71,6 +87,8 @@
 	DeadlineS   float64  `msgpack:"d,omitempty"`
 	// SubmittedMS is the wall clock at acceptance.
 	SubmittedMS int64 `msgpack:"at"`
+	// Dependencies are the jobs that must be done first, each named once.
+	Dependencies []string `msgpack:"dp,omitempty"`
 }
 
 const (
@@ -185,6 +203,16 @@
 		}
 	}
 	j.Types = s.Types
+	// Whether the jobs named were ever accepted is not a matter of form: even
+	// a name that can't be a job's is text.
+	for _, d := range s.Dependencies {
+		if d == nil {
+			return nil, fmt.Errorf("%w: waits_on is invalid", ErrMalformed)
+		}
+		if !slices.Contains(j.Dependencies, *d) {
+			j.Dependencies = append(j.Dependencies, *d)
+		}
+	}
 	j.OneZone, j.Spread, j.Spot = flag(s.OneZone), flag(s.Spread), flag(s.Spot)
 	return &j, nil
 }
@@ -407,6 +435,7 @@
 type TransactionResult struct {
 	Revision uint64   `msgpack:"epoch"`
 	Failed   []string `msgpack:"failed"`
+	Error    string   `msgpack:"error"`
 }
 
 // LeaseRequest is the body of POST /grants.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -84,6 +84,37 @@
 	WriteRPS float64 `json:"write_rps"`
 	ValueKB  float64 `json:"value_kb"`
 	TxnOps   int     `json:"txn_ops"`
+	// Next is what is announced: limits that hold from some moment on that
+	// nobody tells.
+	Next NextState `json:"next"`
+}
+
+// NextState holds announced limits of the state service; what is absent stays
+// as it is.
+type NextState struct {
+	RPS      *float64 `json:"rps"`
+	WriteRPS *float64 `json:"write_rps"`
+	ValueKB  *float64 `json:"value_kb"`
+	TxnOps   *int     `json:"txn_ops"`
+}
+
+// Lower returns, for each limit, the lower of the present and the announced
+// one: what keeps to these is good before and after the moment.
+func (s State) Lower() State {
+	lower := State{RPS: s.RPS, WriteRPS: s.WriteRPS, ValueKB: s.ValueKB, TxnOps: s.TxnOps}
+	if s.Next.RPS != nil {
+		lower.RPS = min(lower.RPS, *s.Next.RPS)
+	}
+	if s.Next.WriteRPS != nil {
+		lower.WriteRPS = min(lower.WriteRPS, *s.Next.WriteRPS)
+	}
+	if s.Next.ValueKB != nil {
+		lower.ValueKB = min(lower.ValueKB, *s.Next.ValueKB)
+	}
+	if s.Next.TxnOps != nil {
+		lower.TxnOps = min(lower.TxnOps, *s.Next.TxnOps)
+	}
+	return lower
 }
 
 // Cloud holds the limits of the cloud's interface.
@@ -169,17 +200,31 @@
 			return fmt.Errorf("params.teams[%d]: guarantee above the limit", i)
 		}
 	}
-	for _, f := range []struct {
+	type limit struct {
 		name string
 		v    float64
-	}{
+	}
+	limits := []limit{
 		{"params.workers.report_s", p.Workers.ReportS}, {"params.workers.lease_s", p.Workers.LeaseS},
 		{"params.workers.cancel_s", p.Workers.CancelS}, {"params.state.rps", p.State.RPS},
 		{"params.state.write_rps", p.State.WriteRPS}, {"params.state.value_kb", p.State.ValueKB},
 		{"params.state.txn_ops", float64(p.State.TxnOps)}, {"params.cloud.rps", p.Cloud.RPS},
 		{"params.machine_limits.mem_mb", p.MachineLimits.MemMB},
 		{"params.machine_limits.sockets", float64(p.MachineLimits.Sockets)},
-	} {
+	}
+	next := &p.State.Next
+	for _, f := range []struct {
+		name string
+		v    *float64
+	}{{"rps", next.RPS}, {"write_rps", next.WriteRPS}, {"value_kb", next.ValueKB}} {
+		if f.v != nil {
+			limits = append(limits, limit{"params.state.next." + f.name, *f.v})
+		}
+	}
+	if next.TxnOps != nil {
+		limits = append(limits, limit{"params.state.next.txn_ops", float64(*next.TxnOps)})
+	}
+	for _, f := range limits {
 		if !(f.v > 0) || math.IsInf(f.v, 0) {
 			return fmt.Errorf("%s: must be above 0", f.name)
 		}
