--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -130,7 +130,7 @@
 	for _, i := range c.teamPart {
 		c.parts[i].loaded = true
 	}
-	c.graph.init(c.runTime)
+	c.graph.init(c.jobs, c.runTime)
 	c.leader.kick = make(chan struct{}, 1)
 	c.leader.init()
 	return c
--- a/internal/coordination/dependencies.go
+++ b/internal/coordination/dependencies.go
@@ -18,6 +18,7 @@
 	nodes   []vertex
 	free    []int32
 	runTime func(*job) time.Duration
+	jobs    map[string]*job // all unfinished jobs; the controller's
 	// doomed are the jobs that are to be withdrawn, since something that they
 	// need is, directly or through others.
 	doomed map[string]*job
@@ -32,8 +33,8 @@
 	doomed       bool
 }
 
-func (g *graph) init(runTime func(*job) time.Duration) {
-	g.index, g.doomed, g.runTime = map[string]int32{}, map[string]*job{}, runTime
+func (g *graph) init(jobs map[string]*job, runTime func(*job) time.Duration) {
+	g.index, g.doomed, g.jobs, g.runTime = map[string]int32{}, map[string]*job{}, jobs, runTime
 }
 
 // vertex returns a job's place, made if there is none.
@@ -49,7 +50,7 @@
 		g.nodes = append(g.nodes, vertex{})
 	}
 	g.index[id] = n
-	g.nodes[n] = vertex{id: id}
+	g.nodes[n] = vertex{id: id, job: g.jobs[id]}
 	return n
 }
 
