Tests of pipelines, falling limits and both versions; what is doomed dooms new dependents

The random graph test found that a job submitted after one that is to be withdrawn, but is not yet on record as such, was not withdrawn with it until that record came.

--- a/internal/bookkeeping/budget_test.go
+++ b/internal/bookkeeping/budget_test.go
@@ -45,3 +45,37 @@
 		t.Errorf("demand %v leaves out what waits", d)
 	}
 }
+
+// The limit may fall at a moment that nobody tells: use all of it before, and
+// what refusals leave after, but not less than was announced.
+func TestRateFollowsRefusals(t *testing.T) {
+	next := 15.0
+	limits := settings.State{RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 12, Next: settings.NextState{WriteRPS: &next}}
+	s := NewStore(nil, "state:1", limits, 3)
+	now := time.Now()
+	for range 100 {
+		now = now.Add(250 * time.Millisecond)
+		s.budget.follow(now)
+	}
+	if s.budget.granted != 20 {
+		t.Errorf("%v before any refusal", s.budget.granted)
+	}
+	for range 20 {
+		now = now.Add(250 * time.Millisecond)
+		s.budget.refused.Add(1)
+		s.budget.follow(now)
+	}
+	if s.budget.granted != 15 {
+		t.Errorf("%v after refusals, announced are 15", s.budget.granted)
+	}
+	for range 400 {
+		now = now.Add(250 * time.Millisecond)
+		s.budget.follow(now)
+	}
+	if s.budget.granted != 20 {
+		t.Errorf("%v long after: a refusal may have had another cause", s.budget.granted)
+	}
+	if s.TxnOps() != 12 || s.ValueBytes() != 8192 {
+		t.Error("sizes that were not announced have changed")
+	}
+}
--- a/internal/bookkeeping/compat_test.go
+++ b/internal/bookkeeping/compat_test.go
@@ -124,3 +124,58 @@
 		}
 	}
 }
+
+// What is new in a record is passed over by the version in production, which
+// finds the same meaning in the rest; records that it rewrites hold nothing new.
+func TestVersionInProductionReadsJobsWithDependencies(t *testing.T) {
+	k := kinds()["job"]
+	now, want := *k.now.(*protocol.JobSpec), k.old
+	now.Dependencies = []string{"job-1", "job-000398"}
+	raw := Encode(&now)
+	got := new(oldJobSpec)
+	if err := Decode(raw, got); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("read as %+v (%v), want %+v", got, err, want)
+	}
+	again := new(protocol.JobSpec)
+	if err := Decode(raw, again); err != nil || !reflect.DeepEqual(again, &now) {
+		t.Errorf("read again as %+v (%v)", again, err)
+	}
+	// The run record, written by one, rewritten by the other, read by the first.
+	run := new(oldRun)
+	if err := Decode(Encode(kinds()["run"].now), run); err != nil {
+		t.Fatal(err)
+	}
+	run.Done, run.Live = append(run.Done, [2]int{12, 13}), run.Live[:1]
+	back := new(Run)
+	if err := Decode(Encode(run), back); err != nil || len(back.Done) != 3 || len(back.Live) != 1 || back.Live[0].Machine != "m-000231" {
+		t.Errorf("rewritten and read back: %+v (%v)", back, err)
+	}
+}
+
+// The sizes that placement counts with are never below what the service counts.
+func TestRunSizeBoundsTheRecord(t *testing.T) {
+	long := "m-" + string(bytes.Repeat([]byte("0"), 180))
+	for _, name := range []string{"m", "m-000231", long, `odd"\<&>:,é`} {
+		for _, big := range []bool{false, true} {
+			run := Run{Done: [][2]int{}, Live: []Attempt{}, Last: 7}
+			for task := range ChunkTasks {
+				a := Attempt{Task: task, Number: 3, Machine: name, Session: 2}
+				if big {
+					a.Task, a.Number, a.Session, run.Last = 99_936+task, 1<<63, 1<<63, 1<<64-1
+				}
+				if task%2 == 0 || name != "m" {
+					run.Live = append(run.Live, a)
+				} else {
+					run.Done = append(run.Done, [2]int{a.Task, a.Task})
+				}
+			}
+			if size, real := run.Size(), protocol.JSONSize(Encode(run))-32; size < real {
+				t.Errorf("%.10s big %v: counted with %d bytes, takes %d", name, big, size, real)
+			}
+			// What the operators announce holds 64 attempts with usual names.
+			if name == "m-000231" && !big && run.Size() > 2048 {
+				t.Errorf("64 usual attempts take %d bytes", run.Size())
+			}
+		}
+	}
+}
--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -157,3 +157,52 @@
 		})
 	}
 }
+
+// pipelines makes a controller that knows n jobs after one first job: each
+// after the one before, or all after the first.
+func pipelines(b *testing.B, n int, deep bool) *Controller {
+	b.Helper()
+	c, _ := owner(b)
+	c.take(spec("job-0", 1, "green"))
+	for i := 1; i < n; i++ {
+		dep := 0
+		if deep {
+			dep = i - 1
+		}
+		s := after(fmt.Sprintf("job-%d", i), 1, "green", fmt.Sprintf("job-%d", dep))
+		s.DeadlineS = 0
+		c.take(s)
+	}
+	return c
+}
+
+// BenchmarkGraph: a submission at the end of a pipeline whose deadline reaches
+// back over all of it, the completion of what all wait for, and its withdrawal.
+func BenchmarkGraph(b *testing.B) {
+	for _, n := range []int{1000, 8000} {
+		for _, deep := range []bool{false, true} {
+			name := fmt.Sprintf("/jobs=%d/deep=%v", n, deep)
+			b.Run("submission"+name, func(b *testing.B) {
+				c := pipelines(b, n, deep)
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					// Each is needed a little sooner, so that all change.
+					last := after(fmt.Sprintf("job-9%d", i), 1, "green", fmt.Sprintf("job-%d", n-1))
+					last.DeadlineS = 1e6 - float64(i)/100
+					c.take(last)
+				}
+			})
+			for _, status := range []string{protocol.StatusDone, protocol.StatusWithdrawn} {
+				b.Run(status+name, func(b *testing.B) {
+					b.ReportAllocs()
+					for b.Loop() {
+						b.StopTimer()
+						c := pipelines(b, n, deep)
+						b.StartTimer()
+						c.setFinal("job-0", status)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/coordination/dependencies.go
+++ b/internal/coordination/dependencies.go
@@ -90,6 +90,11 @@
 		case protocol.StatusWithdrawn:
 			doomed = true
 		default:
+			// One that is to be withdrawn dooms whatever names it, before its
+			// own end is on record.
+			if d, ok := g.index[dep]; ok && g.nodes[d].doomed {
+				doomed = true
+			}
 			open = append(open, dep)
 		}
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -32,6 +32,11 @@
 		{"params.workers.lease_s", `"long"`, "lease_s"},
 		{"params.state.rps", `0`, "params.state.rps"},
 		{"params.state.txn_ops", `-1`, "params.state.txn_ops"},
+		{"params.state.next", `{"txn_ops":0}`, "params.state.next.txn_ops"},
+		{"params.state.next", `{"value_kb":-2}`, "params.state.next.value_kb"},
+		{"params.state.next", `{"write_rps":"few"}`, "next.write_rps"},
+		{"params.state.next", `{"rps":0}`, "params.state.next.rps"},
+		{"params.state.next", `[1]`, "next"},
 		{"others", `[{"label":"s-0","peer_addr":"127.0.0.1:3"}]`, "others[0].label"},
 		{"services.state", `""`, "services.state"},
 	} {
@@ -56,6 +61,24 @@
 	}
 }
 
+// What is announced may be absent, partial, or more than there is.
+func TestAnnouncedLimits(t *testing.T) {
+	for next, want := range map[string]State{
+		``:                               {RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 12},
+		`,"next":null`:                   {RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 12},
+		`,"next":{}`:                     {RPS: 100, WriteRPS: 20, ValueKB: 8, TxnOps: 12},
+		`,"next":{"value_kb":2,"odd":1}`: {RPS: 100, WriteRPS: 20, ValueKB: 2, TxnOps: 12},
+		`,"next":{"txn_ops":5,"write_rps":15.0,"value_kb":16,"rps":300}`: {RPS: 100, WriteRPS: 15, ValueKB: 8, TxnOps: 5},
+	} {
+		s, err := Parse([]byte(strings.Replace(good, `"txn_ops":12`, `"txn_ops":12`+next, 1)))
+		if err != nil {
+			t.Errorf("%s: %v", next, err)
+		} else if got := s.Params.State.Lower(); got != want {
+			t.Errorf("%s: %+v, want %+v", next, got, want)
+		}
+	}
+}
+
 func TestLoadOperator(t *testing.T) {
 	write := func(text string) string {
 		path := filepath.Join(t.TempDir(), "op.yaml")
