--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -187,7 +187,7 @@
 				b.ReportAllocs()
 				for i := 0; b.Loop(); i++ {
 					// Each is needed a little sooner, so that all change.
-					last := after(fmt.Sprintf("job-9%d", i), 1, "green", fmt.Sprintf("job-%d", n-1))
+					last := after(fmt.Sprintf("job-1000000%d", i), 1, "green", fmt.Sprintf("job-%d", n-1))
 					last.DeadlineS = 1e6 - float64(i)/100
 					c.take(last)
 				}
