--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -40,6 +40,9 @@
 	ErrTooLarge = errors.New("state service takes no transaction of this size")
 )
 
+// errOverLimit is a refusal for the number of requests or changes.
+var errOverLimit = fmt.Errorf("%w: over its limit", ErrRefused)
+
 // leaseGone is what the service says where a put names an expired lease.
 const leaseGone = "no such lease"
 
@@ -102,6 +105,7 @@
 	// userPatience is how long a user's request may wait for budget before it
 	// is refused with Retry-After.
 	userPatience = 400 * time.Millisecond
+	userRetry    = 100 * time.Millisecond
 )
 
 // NewStore makes a client for one of count controllers.
@@ -114,8 +118,10 @@
 	s := &Store{
 		net: net, addr: addr, start: time.Now(), limits: lower,
 		requests: limiter(lower.RPS*share, int(lower.RPS*share/2)),
-		writes:   limiter(0, int(lower.WriteRPS*share)),
-		records:  limiter(0, int(lower.WriteRPS*share)),
+		// Users come in bursts, at any one controller: one may take a second's
+		// worth of all, which the service allows. Averages are far below.
+		writes:  limiter(0, int(lower.WriteRPS)),
+		records: limiter(0, int(lower.WriteRPS*share)),
 	}
 	s.budget.init(limits, count)
 	s.txnOps.Store(int64(lower.TxnOps))
@@ -154,7 +160,7 @@
 	case 200, 404, 409, 410, 400:
 		s.lastOK.Store(int64(time.Since(s.start)))
 	case 429:
-		return 429, fmt.Errorf("%w: over its limit", ErrRefused)
+		return 429, errOverLimit
 	default:
 		s.lastFail.Store(int64(time.Since(s.start)))
 		return resp.Status, fmt.Errorf("%w: status %d", ErrRefused, resp.Status)
@@ -219,12 +225,24 @@
 	return s.page(ctx, prefix, "")
 }
 
-// UserCommit commits a submission or a withdrawal.
+// UserCommit commits a submission or a withdrawal. Other controllers may have
+// used the service's budget up for a moment: what it refused for that is tried
+// again for as long as a user's request may wait for budget.
 func (s *Store) UserCommit(ctx context.Context, txn *protocol.Transaction) (uint64, error) {
 	if err := s.admitUser(ctx, len(txn.Then)); err != nil {
 		return 0, err
 	}
-	return s.commit(ctx, txn)
+	for begun := time.Now(); ; {
+		rev, err := s.commit(ctx, txn)
+		if !errors.Is(err, errOverLimit) || time.Since(begun) > userPatience-userRetry {
+			return rev, err
+		}
+		select {
+		case <-time.After(userRetry):
+		case <-ctx.Done():
+			return 0, err
+		}
+	}
 }
 
 // Get reads a key.
