--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -437,10 +437,16 @@
 			t.Errorf("a poll gets %d", got)
 		}
 		n := w.nodes["n0"].ctl
+		w.mu.Lock()
+		w.state.stuck = true
+		w.mu.Unlock()
 		n.do(func() { n.fresh = time.Now().Add(-n.staleBound() - time.Second) })
 		if got := ask(); got != 503 {
 			t.Errorf("a poll of a controller that is behind gets %d", got)
 		}
+		w.mu.Lock()
+		w.state.stuck = false
+		w.mu.Unlock()
 		time.Sleep(15 * time.Second)
 		if got := ask(); got != 200 {
 			t.Errorf("a poll gets %d after the watch went on", got)
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -75,6 +75,7 @@
 	history  []protocol.Event
 	changed  chan struct{}
 	out      bool
+	stuck    bool // watches bring nothing
 	writes   int
 	reads    int
 	// Limits that nobody announced; 0: none.
@@ -427,7 +428,7 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	end := time.Now().Add(time.Duration(wait) * time.Millisecond)
 	for {
-		if !s.out {
+		if !s.out && !s.stuck {
 			s.expire()
 			ev := protocol.Events{Revision: s.revision, Events: []protocol.Event{}}
 			for _, e := range s.history {
