--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -523,3 +523,30 @@
 		}
 	})
 }
+
+// Fetches of all stages of a pipeline add up: there even a short one is saved
+// where a machine has the image.
+func TestPipelinesGoWhereTheImageIs(t *testing.T) {
+	for _, pipeline := range []bool{false, true} {
+		c, p := owner(t)
+		busy := c.up(p, "m-1", "big")
+		busy.images["img"] = time.Now()
+		c.up(p, "m-2", "big")
+		other := spec("job-1", 1, "green")
+		other.Image, other.EstimateS = "other", 600
+		a := &attempt{job: c.take(other), machine: busy, session: 1, state: attemptSeen}
+		busy.attempts["x"] = a
+		busy.resources()
+		delete(c.jobs, "job-1")
+		s := spec("job-2", 1, "green")
+		s.EstimateS, s.ImageGB = 600, 1 // a short fetch
+		j := c.take(s)
+		if pipeline {
+			c.take(after("job-3", 1, "green", "job-2"))
+		}
+		c.place(p, time.Now())
+		if got := j.live[0].machine.name; got == "m-1" != pipeline {
+			t.Errorf("pipeline %v: placed on %s", pipeline, got)
+		}
+	}
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -608,6 +608,9 @@
 	fit = prefer(fit, func(m *machine) bool { return !r.scarce.contested(m.rec.Type, breadth) })
 	fit = prefer(fit, func(m *machine) bool { return m.rec.Spot })
 	long := longFetch * c.estimate(j.spec)
+	if len(j.spec.Dependencies) > 0 || !j.neededBy.IsZero() {
+		long = 0 // in a pipeline, fetches add up
+	}
 	fit = prefer(fit, func(m *machine) bool {
 		return j.spec.ImageGB <= long*m.typ.FetchGBPerS || m.hasImage(j.spec.Image)
 	})
