A repeat of an accepted job is known even where the service refuses its size

Found by reading: a controller that had not heard of the job would have answered 422 after an unannounced fall of the value limit. The test fails without the change.

--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -497,6 +497,39 @@
 	})
 }
 
+// A job that was accepted before a limit fell that nobody announced is known
+// all the same to a controller that has not heard of it.
+func TestRepeatOfAJobLargerThanAnUnannouncedLimit(t *testing.T) {
+	simulate(t, 38, func(w *world) {
+		time.Sleep(2 * time.Second)
+		s := spec("job-1", 1, "red")
+		s.Class = strings.Repeat("c", 190)
+		w.mu.Lock()
+		w.state.stuck = true // the others' watches bring nothing
+		w.mu.Unlock()
+		if got := w.ask("n0", "POST", "/submissions", submission(s)).Status; got != 201 {
+			t.Fatal(got)
+		}
+		w.mu.Lock()
+		w.state.hiddenValue = 300
+		w.mu.Unlock()
+		if got := w.ask("n1", "POST", "/submissions", submission(s)).Status; got != 200 {
+			t.Errorf("a repeat gets %d", got)
+		}
+		s.ID = "job-2"
+		if got := w.ask("n1", "POST", "/submissions", submission(s)).Status; got != 422 {
+			t.Errorf("another of its size gets %d", got)
+		}
+		w.mu.Lock()
+		w.state.stuck, w.state.hiddenValue = false, 0
+		w.mu.Unlock()
+		w.mu.Lock()
+		w.jobs["job-1"] = &userJob{spec: spec("job-1", 1, "red"), tasksDone: map[int]bool{}}
+		w.mu.Unlock()
+		w.finish(2 * time.Minute)
+	})
+}
+
 // The rate of changes falls without notice: few refusals, and all goes on.
 func TestRateOfChangesIsFollowed(t *testing.T) {
 	simulatePrepared(t, 37, func(w *world) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -156,14 +156,17 @@
 	})
 	var conflict *bookkeeping.Conflict
 	switch {
-	case errors.As(err, &conflict):
+	case errors.As(err, &conflict), errors.Is(err, bookkeeping.ErrTooLarge):
+		// The service may look at the size before it looks whether the job is
+		// known: an accepted one must not be refused.
 		st, found, rerr := c.status(ctx, id)
-		if rerr != nil || !found {
-			return unavailable(rerr)
+		switch {
+		case rerr == nil && found:
+			return statusResponse(200, st)
+		case rerr == nil && conflict == nil:
+			return refuse(422, tooLarge(protocol.JSONSize(value), c.store.ValueBytes()), 0)
 		}
-		return statusResponse(200, st)
-	case errors.Is(err, bookkeeping.ErrTooLarge):
-		return refuse(422, tooLarge(protocol.JSONSize(value), c.store.ValueBytes()), 0)
+		return unavailable(rerr)
 	case err != nil:
 		return unavailable(err)
 	}
