One look-up for polls and withdrawals; valid submissions are decoded once

A clean-up without change of behaviour: polls and withdrawals repeated each other's refusals, whether a job has ended was spelt out in four places, and every submission was decoded a second time for its id, which only invalid ones need. A comment on the room in run records said more than the code does.

--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -242,7 +242,7 @@
 }
 
 // recordable says whether the record of a chunk has room for one more attempt.
-// It assumes the worst of what the chunk's other tasks take.
+// It adds up what the chunk's tasks take now; as they end, that only falls.
 func (c *Controller) recordable(j *job, task int, number uint64, m *machine) bool {
 	size := bookkeeping.RunBase + bookkeeping.AttemptSize(number, m.name, m.session)
 	index := task / bookkeeping.ChunkTasks
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -103,8 +103,10 @@
 	if err == nil {
 		spec, err = sub.Check()
 	}
-	id := protocol.SubmissionID(req.Body)
-	if id == "" {
+	id := ""
+	if err == nil {
+		id = spec.ID
+	} else if id = protocol.SubmissionID(req.Body); id == "" {
 		return refuse(400, oneLine(err), 0)
 	}
 	// A known id is looked up before anything else is said about the body, so
@@ -253,7 +255,7 @@
 	st := protocol.JobStatus{ID: id}
 	known := false
 	c.do(func() { known = c.describe(&st) })
-	if st.Status == protocol.StatusDone || st.Status == protocol.StatusWithdrawn {
+	if st.Ended() {
 		return st, true, nil
 	}
 	if c.store.Down() {
@@ -293,7 +295,7 @@
 		}
 		known = c.describe(&st)
 	})
-	if known && st.Status != protocol.StatusDone && st.Status != protocol.StatusWithdrawn {
+	if known && !st.Ended() {
 		return c.unfinished(ctx, st)
 	}
 	return st, known, nil
@@ -393,32 +395,40 @@
 }
 
 func (c *Controller) poll(ctx context.Context, id string) transport.Response {
+	st, refusal := c.lookUp(ctx, id)
+	if refusal != nil {
+		return *refusal
+	}
+	return statusResponse(200, st)
+}
+
+// lookUp reads the state of the job that a user names, or says why it can't.
+func (c *Controller) lookUp(ctx context.Context, id string) (protocol.JobStatus, *transport.Response) {
+	var refusal transport.Response
 	if !protocol.ValidID(id) {
-		return refuse(404, "no such job", 0)
+		refusal = refuse(404, "no such job", 0)
+		return protocol.JobStatus{}, &refusal
 	}
 	st, found, err := c.status(ctx, id)
 	switch {
 	case err != nil:
-		return unavailable(err)
+		refusal = unavailable(err)
 	case !found:
-		return refuse(404, "no such job", 0)
+		refusal = refuse(404, "no such job", 0)
+	default:
+		return st, nil
 	}
-	return statusResponse(200, st)
+	return st, &refusal
 }
 
 // withdraw cancels a job, unless it is done already.
 func (c *Controller) withdraw(ctx context.Context, id string) transport.Response {
-	if !protocol.ValidID(id) {
-		return refuse(404, "no such job", 0)
-	}
-	st, found, err := c.status(ctx, id)
-	switch {
-	case err != nil:
-		return unavailable(err)
-	case !found:
-		return refuse(404, "no such job", 0)
+	st, refusal := c.lookUp(ctx, id)
+	if refusal != nil {
+		return *refusal
 	}
-	if st.Status != protocol.StatusDone && st.Status != protocol.StatusWithdrawn {
+	if !st.Ended() {
+		var err error
 		if st.Status, err = c.withdrawNow(ctx, id); err != nil {
 			return unavailable(err)
 		}
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -225,6 +225,9 @@
 	Running int    `msgpack:"running"`
 }
 
+// Ended says whether the job is over, for good.
+func (s *JobStatus) Ended() bool { return s.Status == StatusDone || s.Status == StatusWithdrawn }
+
 // The states of a job as users see them.
 const (
 	StatusQueued    = "queued"
