--- a/internal/regress/regress_test.go
+++ b/internal/regress/regress_test.go
@@ -146,3 +146,21 @@
 		}
 	}
 }
+
+// Another run may show a fall to be chance, never a broken rule.
+func TestRunsAreMerged(t *testing.T) {
+	one := entry("1", "08:00:00", "score", "quick", "a", 0.60, day("rough", 0.50, `,"rules":{"quota":1}`))
+	two := entry("2", "09:00:00", "score", "quick", "a", 0.80, day("rough", 0.70, ""))
+	merged := Merge(parse(t, one, two, entry("3", "09:00:00", "hunt", "", "a", 0, day("h", 0.1, "")), entry("4", "09:00:00", "hunt", "", "a", 0, day("h", 0.2, ""))))
+	if len(merged) != 3 || merged[0].Score != 0.70 || merged[0].Days[0].Score != 0.60 || merged[0].Days[0].Broken["quota"] != 1 || merged[1].Days[0].Score != 0.1 {
+		t.Fatalf("merged into %+v", merged)
+	}
+	for _, c := range []struct {
+		now  string
+		want int
+	}{{one, 0}, {entry("1", "08:00:00", "score", "quick", "a", 0.60, day("rough", 0.60, "")), 1}, {two, 0}} {
+		if got := Doubtful(Compare(history(t), parse(t, c.now))); len(got) != c.want {
+			t.Errorf("%q are doubtful, not %d sites", got, c.want)
+		}
+	}
+}
--- a/internal/regress/verdict.go
+++ b/internal/regress/verdict.go
@@ -30,6 +30,72 @@
 	// Failed says what forbids to land, Note what deserves a look.
 	Failed string `json:"failed,omitempty"`
 	Note   string `json:"note,omitempty"`
+	// Fell: it is only a fall that forbids to land, which another run may show to
+	// be chance.
+	Fell bool `json:"fell,omitempty"`
+}
+
+// Merge makes one entry of the runs of a site with the same verb and mode: the
+// means of their figures, and all that went wrong in any of them.
+func Merge(entries []Entry) []Entry {
+	var out []Entry
+	counts := map[int]float64{}
+	for _, e := range entries {
+		at := slices.IndexFunc(out, func(o Entry) bool {
+			return o.Site == e.Site && o.Verb == e.Verb && o.Quick == e.Quick && (e.Site != "" || o.ID == e.ID)
+		})
+		if at < 0 || e.Verb != "score" { // the days of hunts are others each time
+			e.Days = slices.Clone(e.Days)
+			out = append(out, e)
+			counts[len(out)-1] = 1
+			continue
+		}
+		o := &out[at]
+		n := counts[at]
+		counts[at]++
+		o.Score = (o.Score*n + e.Score) / (n + 1)
+		if e.Failure != "" {
+			o.Failure = e.Failure
+		}
+		for _, d := range e.Days {
+			i := slices.IndexFunc(o.Days, func(od Day) bool { return od.Key == d.Key })
+			if i < 0 {
+				o.Days = append(o.Days, d)
+				continue
+			}
+			od := &o.Days[i]
+			od.Score = (od.Score*n + d.Score) / (n + 1)
+			od.Restarts += d.Restarts
+			od.Broken = maps.Clone(od.Broken)
+			for rule, times := range d.Broken {
+				if od.Broken == nil {
+					od.Broken = map[string]int{}
+				}
+				od.Broken[rule] += times
+			}
+			if d.Failure != "" {
+				od.Failure = d.Failure
+			}
+		}
+	}
+	return out
+}
+
+// Doubtful are the sites of which nothing but falls forbid to land.
+func Doubtful(rows []Row) []string {
+	worst := map[string]bool{} // site: something else forbids
+	for _, r := range rows {
+		if r.Failed != "" {
+			worst[r.Site] = worst[r.Site] || !r.Fell
+		}
+	}
+	var out []string
+	for _, site := range slices.Sorted(maps.Keys(worst)) {
+		if !worst[site] {
+			out = append(out, site)
+		}
+	}
+	return out
 }
 
 // Compare sets the entries of now against earlier ones. A broken rule, a failed
@@ -129,7 +195,7 @@
 	fall := r.Before - r.Now
 	switch {
 	case fall > max(Fall, noises*r.Noise)+1e-9:
-		r.Failed = fmt.Sprintf("fell by %.3f", fall)
+		r.Failed, r.Fell = fmt.Sprintf("fell by %.3f", fall), true
 	case fall > Fall+1e-9:
 		r.Note = fmt.Sprintf("fell by %.3f, within its noise", fall)
 	}
