A gate is shared among teams by weight, and among a team's clients

Need: one team's calls and transfers could take the gate's processor and disk, and evict another's blobs; the bounds of waiting actions were constants, the same for everybody. Change: internal/admission has fair queues by virtual time on two levels, with bounded waiting, and a ledger of quotas with borrowing. Calls, transfers, bytes a second and waiting actions go through them; the content store has a quota for each space. Refusals say when to come back. Settings: shares in gate.yaml.

--- a/cmd/spindlegate/main.go
+++ b/cmd/spindlegate/main.go
@@ -63,6 +63,8 @@
 	// in its certificate.
 	Peers  map[string]string `yaml:"peers"`
 	Copies int               `yaml:"copies"`
+	// Shares are what teams share by weight.
+	Shares shares `yaml:"shares"`
 	Store  struct {
 		Dir     string        `yaml:"dir"`
 		MaxGB   float64       `yaml:"max_gb"`
@@ -80,7 +82,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &settings{Class: "build", Copies: 1}
+	s := &settings{Class: "build", Copies: 1, Shares: defaultShares()}
 	s.Store.MaxGB, s.Store.MaxBlob, s.Store.Promise, s.Store.Results = 10, 1024, 10*time.Minute, 1_000_000
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
@@ -117,6 +119,9 @@
 	case s.Store.Results < 1:
 		return nil, errors.New("store.results: must be at least 1")
 	}
+	if err := s.Shares.check(s.teams()); err != nil {
+		return nil, fmt.Errorf("shares: %w", err)
+	}
 	for addr, name := range s.Peers {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("peers: not an address: %q", addr)
@@ -135,7 +140,7 @@
 
 func serve(ctx context.Context, s *settings, log *slog.Logger) error {
 	store, found, err := content.Open(filepath.Join(s.Store.Dir, "content"), content.Options{MaxBytes: int64(s.Store.MaxGB * 1e9),
-		MaxBlob: int64(s.Store.MaxBlob * 1e6), Promise: s.Store.Promise})
+		MaxBlob: int64(s.Store.MaxBlob * 1e6), Promise: s.Store.Promise, Quotas: s.Shares.quotas(int64(s.Store.MaxGB*1e9), s.teams())})
 	if err != nil {
 		return usageError{err}
 	}
@@ -148,6 +153,9 @@
 	var access gate.Access = gate.Open{}
 	var opts []grpc.ServerOption
 	config := gate.Config{Instances: s.Instances, ClientResults: s.ClientResults, Class: s.Class, MaxBlob: int64(s.Store.MaxBlob * 1e6)}
+	if config.Shares, err = s.Shares.open(s.teams()); err != nil {
+		return usageError{err}
+	}
 	believe := func(context.Context) bool { return true } // without identities everybody is believed
 	if len(s.Peers) > 0 {
 		config.IsPeer = believe
--- a/cmd/spindlegate/main_test.go
+++ b/cmd/spindlegate/main_test.go
@@ -51,6 +51,14 @@
 		"copies":          {good + "copies: 2\n", "copies"},
 		"bad peer":        {good + "peers: {x: service/a}\n", "peers"},
 		"empty":           {"", "listen"},
+		"shares":          {good + "shares: {weights: {red: 2.5}, bytes_per_second: 1e8, calls: 0}\n", ""},
+		"no such team":    {good + "shares: {weights: {blue: 1}}\n", "weights.blue"},
+		"no weight":       {good + "shares: {weights: {red: -1}}\n", "weights.red"},
+		"no actions":      {good + "shares: {actions: 0}\n", "actions"},
+		"client over all": {good + "shares: {actions: 10, actions_client: 11}\n", "actions_client"},
+		"quota over all":  {good + "shares: {store_quota: 1.5}\n", "store_quota"},
+		"no rate":         {good + "shares: {bytes_per_second: .nan}\n", "bytes_per_second"},
+		"below 0":         {good + "shares: {queue: -1}\n", "queue"},
 	} {
 		if err := os.WriteFile(file, []byte(tc.text), 0o600); err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/cmd/spindlegate/shares.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"micaspindle/internal/admission"
+	"micaspindle/internal/gate"
+)
+
+// shares is what teams share, as operators write it.
+type shares struct {
+	// Weights of teams; one that is not named has 1.
+	Weights map[string]float64 `yaml:"weights"`
+	// Calls and Transfers are served at a time, BytesPerSecond transferred; 0:
+	// without bound.
+	Calls          int     `yaml:"calls"`
+	Transfers      int     `yaml:"transfers"`
+	BytesPerSecond float64 `yaml:"bytes_per_second"`
+	// Queue is how many calls may wait for each of these, Patience for how long.
+	Queue    int           `yaml:"queue"`
+	Patience time.Duration `yaml:"patience"`
+	// Actions may wait to be submitted, ActionsClient of one client.
+	Actions       int `yaml:"actions"`
+	ActionsClient int `yaml:"actions_client"`
+	// StoreQuota is the part of the store that is divided into quotas.
+	StoreQuota float64 `yaml:"store_quota"`
+}
+
+func defaultShares() shares {
+	return shares{Calls: 64, Transfers: 64, Queue: 4096, Patience: 10 * time.Second, Actions: 10_000, ActionsClient: 2000, StoreQuota: 0.9}
+}
+
+// teams are the teams behind the instances, in order.
+func (s *settings) teams() []string {
+	return slices.Compact(slices.Sorted(maps.Values(s.Instances)))
+}
+
+func (s *shares) limits(atOnce int, perSecond float64) admission.Limits {
+	return admission.Limits{AtOnce: atOnce, PerSecond: perSecond, Waiting: s.Queue, Patience: s.Patience, Weights: s.Weights}
+}
+
+func (s *shares) check(teams []string) error {
+	for team := range s.Weights {
+		if !slices.Contains(teams, team) {
+			return fmt.Errorf("weights.%s: no instance has this team", team)
+		}
+	}
+	for name, v := range map[string]int{"calls": s.Calls, "transfers": s.Transfers, "queue": s.Queue} {
+		if v < 0 {
+			return fmt.Errorf("%s: must not be below 0", name)
+		}
+	}
+	switch {
+	case s.Actions < 1:
+		return errors.New("actions: must be at least 1")
+	case s.ActionsClient < 1 || s.ActionsClient > s.Actions:
+		return errors.New("actions_client: must lie between 1 and actions")
+	case !(s.StoreQuota >= 0 && s.StoreQuota <= 1):
+		return errors.New("store_quota: must lie between 0 and 1")
+	case s.BytesPerSecond < 0 || math.IsNaN(s.BytesPerSecond) || math.IsInf(s.BytesPerSecond, 0):
+		return errors.New("bytes_per_second: must be a number and not below 0")
+	}
+	l := s.limits(s.Calls, s.BytesPerSecond)
+	return l.Check()
+}
+
+// quotas divides the store among teams by weight.
+func (s *shares) quotas(bytes int64, teams []string) map[string]int64 {
+	sum := 0.0
+	for _, t := range teams {
+		sum += s.weight(t)
+	}
+	out := map[string]int64{}
+	for _, t := range teams {
+		out[t] = int64(float64(bytes) * s.StoreQuota * s.weight(t) / sum)
+	}
+	return out
+}
+
+func (s *shares) weight(team string) float64 {
+	if w, ok := s.Weights[team]; ok {
+		return w
+	}
+	return 1
+}
+
+// open makes what the gate shares out.
+func (s *shares) open(teams []string) (gate.Shares, error) {
+	waiting, err := admission.NewLedger(float64(s.Actions), float64(s.ActionsClient), teams, s.Weights)
+	if err != nil {
+		return gate.Shares{}, err
+	}
+	out := gate.Shares{Waiting: waiting}
+	if s.Calls > 0 {
+		out.Calls = admission.New(s.limits(s.Calls, 0))
+	}
+	if s.Transfers > 0 {
+		out.Transfers = admission.New(s.limits(s.Transfers, 0))
+	}
+	if s.BytesPerSecond > 0 {
+		out.Bytes = admission.New(s.limits(0, s.BytesPerSecond))
+	}
+	return out, nil
+}
--- a/internal/content/content.go
+++ b/internal/content/content.go
@@ -80,6 +80,10 @@
 type Options struct {
 	MaxBytes int64
 	MaxBlob  int64
+	// Quotas are what spaces have for sure: nobody else's blobs make them lose what
+	// lies within. A space takes more while there is room; one that is not named
+	// has no quota.
+	Quotas map[string]int64
 	// Promise is how long a blob stays that somebody was told is here.
 	Promise time.Duration
 }
@@ -103,6 +107,7 @@
 	entries map[Key]*entry
 	order   list.List // of *entry, the least recently used first
 	used    int64     // bytes of blobs, and of uploads that may become ones
+	bySpace map[string]int64
 	evicted int64
 	corrupt int64
 }
@@ -127,6 +132,12 @@
 // half done is removed.
 func Open(dir string, opt Options) (*Store, Opened, error) {
 	var found Opened
+	quotas := int64(0)
+	for space, q := range opt.Quotas {
+		if quotas += q; q < 0 || quotas > opt.MaxBytes {
+			return nil, found, fmt.Errorf("%w: the quotas of the content store, at %q", ErrInvalid, space)
+		}
+	}
 	if opt.MaxBytes <= 0 || opt.MaxBlob <= 0 || opt.MaxBlob > opt.MaxBytes || opt.Promise < 0 {
 		return nil, found, fmt.Errorf("%w: bounds of the content store", ErrInvalid)
 	}
@@ -143,7 +154,7 @@
 		_ = lock.Close()
 		return nil, found, fmt.Errorf("content: %s is in use by another process", dir)
 	}
-	s := &Store{dir: dir, opt: opt, lock: lock, entries: map[Key]*entry{}}
+	s := &Store{dir: dir, opt: opt, lock: lock, entries: map[Key]*entry{}, bySpace: map[string]int64{}}
 	if err := s.scan(&found); err != nil {
 		_ = lock.Close()
 		return nil, found, err
@@ -193,6 +204,7 @@
 	sortByTime(files, func(f file) time.Time { return f.at })
 	for _, f := range files {
 		s.add(f.key, false)
+		s.bySpace[f.key.Space] += f.key.Size
 		found.Blobs++
 		found.Bytes += f.key.Size
 	}
@@ -279,15 +291,65 @@
 	}), nil
 }
 
-// reserve makes room, called with the lock held. Files go under the lock too: the
-// same blob may come again at once.
-func (s *Store) reserve(n int64) error {
+// reserve makes room for a space, called with the lock held: first of what other
+// spaces have beyond their quotas, then of its own. What others have within theirs
+// stays. Files go under the lock too: the same blob may come again at once.
+func (s *Store) reserve(space string, n int64) error {
 	now := time.Now()
-	soonest := time.Time{}
-	for at := s.order.Front(); at != nil && s.used+n > s.opt.MaxBytes; {
+	limit := s.limit(space, n)
+	soonest := s.evict(now, limit-n, func(e *entry) bool { return s.beyond(e) })
+	if own := s.evict(now, limit-n, func(e *entry) bool { return e.key.Space == space }); !own.IsZero() && (soonest.IsZero() || own.Before(soonest)) {
+		soonest = own
+	}
+	if s.used+n > limit {
+		wait := leastWait
+		if !soonest.IsZero() {
+			wait = max(wait, soonest.Sub(now))
+		}
+		return &FullError{wait}
+	}
+	s.take(space, n)
+	return nil
+}
+
+// lent is the part of what others have not used of their quotas that a space
+// beyond its own may take. The rest stays free for them, since what is promised
+// can't be taken back.
+const lent = 0.75
+
+// limit is how full the store may be for a space to take more.
+func (s *Store) limit(space string, n int64) int64 {
+	if s.bySpace[space]+n <= s.opt.Quotas[space] {
+		return s.opt.MaxBytes
+	}
+	unused := int64(0)
+	for other, quota := range s.opt.Quotas {
+		if other != space {
+			unused += max(0, quota-s.bySpace[other])
+		}
+	}
+	return s.opt.MaxBytes - int64(float64(unused)*(1-lent))
+}
+
+// beyond says whether a space has its quota without a blob. Without quotas, all is
+// beyond.
+func (s *Store) beyond(e *entry) bool {
+	return s.bySpace[e.key.Space]-e.key.Size >= s.opt.Quotas[e.key.Space]
+}
+
+// take notes room that is taken, or given back if n is below 0.
+func (s *Store) take(space string, n int64) {
+	s.used += n
+	s.bySpace[space] += n
+}
+
+// evict removes the least recently used blobs that may go until no more than so
+// much is used, and says when the first promise of such a one ends.
+func (s *Store) evict(now time.Time, most int64, may func(*entry) bool) (soonest time.Time) {
+	for at := s.order.Front(); at != nil && s.used > most; {
 		e := at.Value.(*entry)
 		at = at.Next()
-		if e.pins > 0 {
+		if e.pins > 0 || !may(e) {
 			continue
 		}
 		if e.promised.After(now) {
@@ -298,19 +360,11 @@
 		}
 		s.order.Remove(e.at)
 		delete(s.entries, e.key)
-		s.used -= e.key.Size
+		s.take(e.key.Space, -e.key.Size)
 		s.evicted++
 		_ = os.Remove(s.path(e.key)) // found again at the next start if it stays
 	}
-	if s.used+n > s.opt.MaxBytes {
-		wait := leastWait
-		if !soonest.IsZero() {
-			wait = max(wait, soonest.Sub(now))
-		}
-		return &FullError{wait}
-	}
-	s.used += n
-	return nil
+	return soonest
 }
 
 // Upload is a blob that is being written.
@@ -332,23 +386,23 @@
 		return nil, fmt.Errorf("%w: %d bytes of at most %d", ErrTooLarge, k.Size, s.opt.MaxBlob)
 	}
 	s.mu.Lock()
-	err := s.reserve(k.Size)
+	err := s.reserve(k.Space, k.Size)
 	s.mu.Unlock()
 	if err != nil {
 		return nil, err
 	}
 	f, err := os.OpenFile(filepath.Join(s.dir, tempDir, rand.Text()), os.O_CREATE|os.O_EXCL|os.O_RDWR, 0o600)
 	if err != nil {
-		s.release(k.Size)
+		s.release(k)
 		return nil, fmt.Errorf("content: %w", err)
 	}
 	return &Upload{s: s, key: k, f: f, h: sha256.New()}, nil
 }
 
-func (s *Store) release(n int64) {
+func (s *Store) release(k Key) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.used -= n
+	s.take(k.Space, -k.Size)
 }
 
 // Size is how much was written.
@@ -376,7 +430,7 @@
 	u.done = true
 	_ = u.f.Close()
 	_ = os.Remove(u.f.Name())
-	u.s.release(u.key.Size)
+	u.s.release(u.key)
 }
 
 // Commit checks the bytes and makes the blob visible, on disk before it returns.
@@ -401,7 +455,7 @@
 		e.promised = time.Now().Add(u.s.opt.Promise)
 		u.s.order.MoveToBack(e.at)
 		u.done = true
-		u.s.used -= u.key.Size
+		u.s.take(u.key.Space, -u.key.Size)
 		return os.Remove(u.f.Name())
 	}
 	if err := os.Rename(u.f.Name(), path); err != nil {
@@ -532,7 +586,7 @@
 	if e := s.entries[k]; e != nil {
 		s.order.Remove(e.at)
 		delete(s.entries, k)
-		s.used -= k.Size
+		s.take(k.Space, -k.Size)
 	}
 }
 
@@ -553,11 +607,36 @@
 type Stats struct {
 	Blobs                   int
 	Bytes, Evicted, Corrupt int64
+	Spaces                  map[string]SpaceStats
+}
+
+// SpaceStats says how a space stands: what it holds, what of it nobody may take
+// away now, and its quota.
+type SpaceStats struct {
+	Blobs                          int
+	Bytes, Promised, Pinned, Quota int64
 }
 
 // Stats says how the store stands.
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Stats{len(s.entries), s.used, s.evicted, s.corrupt}
+	out := Stats{len(s.entries), s.used, s.evicted, s.corrupt, map[string]SpaceStats{}}
+	for space, quota := range s.opt.Quotas {
+		out.Spaces[space] = SpaceStats{Quota: quota}
+	}
+	now := time.Now()
+	for k, e := range s.entries {
+		sp := out.Spaces[k.Space]
+		sp.Blobs++
+		sp.Bytes += k.Size
+		if e.promised.After(now) {
+			sp.Promised += k.Size
+		}
+		if e.pins > 0 {
+			sp.Pinned += k.Size
+		}
+		out.Spaces[k.Space] = sp
+	}
+	return out
 }
--- a/internal/content/content_test.go
+++ b/internal/content/content_test.go
@@ -311,3 +311,77 @@
 		}
 	}
 }
+
+// A space fills the store while others leave it, but for a part of what they have
+// not used; what lies within their quotas stays when it wants more.
+func TestQuotas(t *testing.T) {
+	if _, _, err := Open(t.TempDir(), Options{MaxBytes: 100, MaxBlob: 10, Quotas: map[string]int64{"red": 60, "blue": 50}}); !errors.Is(err, ErrInvalid) {
+		t.Fatalf("quotas above the store pass: %v", err)
+	}
+	dir := t.TempDir()
+	opt := Options{MaxBytes: 100_000, MaxBlob: 10_000, Quotas: map[string]int64{"red": 40_000, "blue": 40_000}}
+	s, _ := open(t, dir, opt)
+	seed := 0
+	next := func(space string) (Key, error) {
+		seed++
+		data := blob(seed, 1000)
+		k := Key{space, Of(data)}
+		return k, s.Put(k, data)
+	}
+	bytes := func(space string) int64 { return s.Stats().Spaces[space].Bytes }
+	for range 200 {
+		if _, err := next("red"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := bytes("red"); got != 90_000 { // a quarter of blue's 40,000 is left
+		t.Errorf("red holds %d", got)
+	}
+	var first Key
+	for i := range 60 {
+		k, err := next("blue")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 20 {
+			first = k // its first 20 go as blue goes beyond its quota
+		}
+	}
+	if r, b := bytes("red"), bytes("blue"); r < 40_000 || b < 40_000 || r+b > 100_000 {
+		t.Errorf("red holds %d, blue %d", r, b)
+	}
+	for range 300 {
+		if _, err := next("red"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got := bytes("blue"); got < 40_000 {
+		t.Errorf("a flood of red left blue %d of its quota of 40000", got)
+	}
+	if !s.Has(first) {
+		t.Error("a blob within blue's quota is gone")
+	}
+	// Promised blobs of a borrower can't be taken; its refusal says until when.
+	_ = s.Close()
+	opt.Promise = time.Minute
+	s, _ = open(t, t.TempDir(), opt)
+	defer s.Close() //nolint:errcheck // the test ends
+	var full *FullError
+	for {
+		if _, err := next("red"); err != nil {
+			if !errors.As(err, &full) || full.RetryAfter < 50*time.Second {
+				t.Fatal(err)
+			}
+			break
+		}
+	}
+	for range 10 {
+		if _, err := next("blue"); err != nil {
+			t.Fatalf("blue finds no room within its quota: %v", err)
+		}
+	}
+	st := s.Stats()
+	if sp := st.Spaces["red"]; sp.Promised != sp.Bytes || sp.Quota != 40_000 || sp.Blobs != int(sp.Bytes/1000) || st.Bytes != sp.Bytes+st.Spaces["blue"].Bytes {
+		t.Errorf("%+v", st)
+	}
+}
--- /dev/null
+++ b/internal/gate/admit_test.go
@@ -0,0 +1,112 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
+	"google.golang.org/genproto/googleapis/bytestream"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"micaspindle/internal/admission"
+	"micaspindle/internal/content"
+)
+
+func retryDelay(err error) time.Duration {
+	for _, d := range status.Convert(err).Details() {
+		if info, ok := d.(*errdetails.RetryInfo); ok {
+			return info.GetRetryDelay().AsDuration()
+		}
+	}
+	return 0
+}
+
+// A call takes its place only once it may be made, gives it back however it ends,
+// and is refused at once, with the time to come back, where there is none.
+func TestPlacesOfTransfers(t *testing.T) {
+	config := oneTeam
+	q := admission.New(admission.Limits{AtOnce: 1, Waiting: 0})
+	config.Shares.Transfers = q
+	rights := rightsOf{"anna view-arguments red": true, "anna submit red": true, "ben view-arguments blue": true}
+	open, _ := start(t, config, rights, roomy)
+	b := open.as("anna")
+	data := random(8 << 20)
+	if _, err := b.upload("uploads/1/blobs/"+content.Of(data).String(), data, 0, chunk, true); err != nil {
+		t.Fatal(err)
+	}
+	name := "blobs/" + content.Of(data).String()
+	// A client that does not read what it asked for holds the place.
+	ctx, cancel := context.WithCancel(b.ctx)
+	slow, err := b.bytes.Read(ctx, &bytestream.ReadRequest{ResourceName: name})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := slow.Recv(); err != nil {
+		t.Fatal(err)
+	}
+	_, err = b.download(name, 0, 0)
+	b.code(err, codes.ResourceExhausted)
+	if retryDelay(err) == 0 {
+		t.Errorf("the refusal does not say when to come back: %v", err)
+	}
+	_, err = open.as("ben").download(name, 0, 0) // no right: refused as such
+	open.code(err, codes.PermissionDenied)
+	if _, err := b.cas.FindMissingBlobs(b.ctx, &repb.FindMissingBlobsRequest{}); err != nil {
+		t.Errorf("a small call waits for transfers: %v", err)
+	}
+	cancel()
+	for deadline := time.Now().Add(10 * time.Second); q.Stats().Inside > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the place of a client that went is kept")
+		}
+	}
+	if got, err := b.download(name, 0, 0); err != nil || len(got) != len(data) {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
+
+// A rate of bytes is kept, and shared by weight between teams that both want it.
+func TestTheRateOfBytes(t *testing.T) {
+	config := oneTeam
+	const rate = 16 << 20
+	config.Shares.Bytes = admission.New(admission.Limits{PerSecond: rate, Waiting: 100, Weights: map[string]float64{"blue": 3}})
+	b, _ := start(t, config, Open{}, roomy)
+	data := random(4 << 20)
+	d := content.Of(data).String()
+	for _, at := range []string{"", "a/b/"} {
+		if _, err := b.upload(at+"uploads/1/blobs/"+d, data, 0, chunk, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	end := time.Now().Add(2 * time.Second)
+	var mu sync.Mutex
+	got := map[string]int{}
+	var wg sync.WaitGroup
+	begun := time.Now()
+	for _, at := range []string{"", "a/b/"} {
+		for range 3 {
+			wg.Go(func() {
+				for time.Now().Before(end) {
+					data, err := b.download(at+"blobs/"+d, 0, 0)
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					mu.Lock()
+					got[at] += len(data)
+					mu.Unlock()
+				}
+			})
+		}
+	}
+	wg.Wait()
+	seconds := time.Since(begun).Seconds()
+	all := float64(got[""] + got["a/b/"])
+	if all > 1.2*rate*seconds+8<<20 || all < 0.5*rate*seconds || float64(got["a/b/"]) < 1.5*float64(got[""]) {
+		t.Errorf("%d and %d bytes in %.1f s", got[""], got["a/b/"], seconds)
+	}
+}
--- a/internal/gate/cas.go
+++ b/internal/gate/cas.go
@@ -90,6 +90,9 @@
 	if total > maxBatch {
 		return nil, status.Errorf(codes.InvalidArgument, "the batch holds %d bytes, at most %d; write larger blobs by ByteStream", total, maxBatch)
 	}
+	if err := g.pace(ctx, int(total)); err != nil {
+		return nil, err
+	}
 	resp := new(repb.BatchUpdateBlobsResponse)
 	for _, r := range req.GetRequests() {
 		data, err := unpack(r)
@@ -127,6 +130,9 @@
 			return nil, status.Errorf(codes.InvalidArgument, "the batch asks for more than %d bytes; read larger blobs by ByteStream", maxBatch)
 		}
 	}
+	if err := g.pace(ctx, int(total)); err != nil {
+		return nil, err
+	}
 	resp := new(repb.BatchReadBlobsResponse)
 	for _, d := range req.GetDigests() {
 		data, err := g.read(ctx, req.GetInstanceName(), content.Key{Space: space, Digest: digestOf(d)}, maxBatch)
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -39,9 +39,6 @@
 	// make a job at the most.
 	gatherFor  = 50 * time.Millisecond
 	gatherMost = 256
-	// maxWaiting bounds what waits for its job, of one client and of all.
-	maxWaitingOne = 2000
-	maxWaiting    = 10_000
 	// lookEvery is how often a wait looks for a result that another gate may
 	// have, and statusEvery whether the job still is.
 	lookEvery   = 250 * time.Millisecond
@@ -52,8 +49,6 @@
 type gatherer struct {
 	mu      sync.Mutex
 	lots    map[lotKey]*lot
-	waiting map[[sha256.Size]byte]int // by client
-	all     int
 	running map[string]*task // by space and execution: identical ones run once
 	wanted  map[string]*interest
 	// jobs and actions count what was submitted.
@@ -144,6 +139,8 @@
 	entry    ManifestEntry
 	instance string
 	space    string
+	// caller is who takes a place among those who wait.
+	caller string
 	// placed is closed once the task has its job, or can't have one.
 	placed chan struct{}
 	job    string
@@ -318,6 +315,7 @@
 	if err != nil {
 		return err
 	}
+	visitOf(ctx).over() // what it waits for now is the cluster
 	select {
 	case <-t.placed:
 	case <-ctx.Done():
@@ -351,13 +349,15 @@
 	if t := g.gather.running[key]; t != nil {
 		return t, nil
 	}
-	if g.gather.waiting[who] >= maxWaitingOne || g.gather.all >= maxWaiting {
+	caller := stranger(cred)
+	if v := visitOf(ctx); v != nil && v.who != "" {
+		caller = v.who
+	}
+	if w := g.config.Shares.Waiting; w != nil && !w.Take(space, caller, 1) {
 		return nil, retryLater(codes.ResourceExhausted, time.Second, "too many actions wait to be submitted")
 	}
-	t = &task{entry: e, instance: instance, space: space, placed: make(chan struct{}), done: make(chan struct{})}
+	t = &task{entry: e, instance: instance, space: space, caller: caller, placed: make(chan struct{}), done: make(chan struct{})}
 	g.gather.running[key] = t
-	g.gather.waiting[who]++
-	g.gather.all++
 	lk := lotKey{who, instance, n}
 	l := g.gather.lots[lk]
 	if l == nil {
@@ -424,11 +424,10 @@
 		err = submitFailure(err)
 	}
 	g.gather.mu.Lock()
-	g.gather.all -= len(tasks)
-	if g.gather.waiting[lk.client] -= len(tasks); g.gather.waiting[lk.client] <= 0 {
-		delete(g.gather.waiting, lk.client)
-	}
 	for i, t := range tasks {
+		if w := g.config.Shares.Waiting; w != nil {
+			w.Give(t.space, t.caller, 1)
+		}
 		t.job, t.index, t.err = id, i, err
 		if err != nil {
 			delete(g.gather.running, t.space+"/"+t.entry.Execution)
@@ -648,6 +647,7 @@
 		t = here
 	}
 	g.gather.mu.Unlock()
+	visitOf(ctx).over()
 	return g.follow(ctx, out, t)
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/sha256"
 	"errors"
 	"fmt"
 	"io"
@@ -31,6 +30,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/durationpb"
 
+	"micaspindle/internal/admission"
 	"micaspindle/internal/content"
 )
 
@@ -67,6 +67,8 @@
 	MaxBlob       int64
 	// Class is the class of the jobs that actions become.
 	Class string
+	// Shares are what teams and clients share.
+	Shares Shares
 	// IsPeer says whether a call that calls itself one of another gate is that;
 	// nil: no call is.
 	IsPeer func(ctx context.Context) bool
@@ -102,7 +104,7 @@
 // actions become, nil: nothing is run.
 func New(config Config, store *content.Store, results *content.Results, access Access, peers *Peers, jobs Jobs, log *slog.Logger) *Gate {
 	return &Gate{config: config, store: store, results: results, access: access, peers: peers, jobs: jobs, log: log, uploads: uploads{open: map[string]*partial{}},
-		gather: gatherer{lots: map[lotKey]*lot{}, waiting: map[[sha256.Size]byte]int{}, running: map[string]*task{}, wanted: map[string]*interest{}}}
+		gather: gatherer{lots: map[lotKey]*lot{}, running: map[string]*task{}, wanted: map[string]*interest{}}}
 }
 
 func randomName() string { return rand.Text() }
@@ -131,11 +133,15 @@
 func (g *Gate) unary(ctx context.Context, req any, info *grpc.UnaryServerInfo, h grpc.UnaryHandler) (resp any, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	ctx, v := g.visits(ctx, req)
+	defer v.over()
 	defer g.recovered(info.FullMethod, &err)
 	return h(ctx, req)
 }
 
 func (g *Gate) stream(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, h grpc.StreamHandler) (err error) {
+	ss, v := g.visitStream(ss, info.FullMethod)
+	defer v.over()
 	defer g.recovered(info.FullMethod, &err)
 	return h(srv, ss)
 }
@@ -156,10 +162,11 @@
 	if g.fromPeer(ctx) || g.fromWorker(ctx) {
 		return team, nil // a gate has asked for its own client; workers run all teams' tasks
 	}
-	if _, err := g.access.Allows(ctx, credential(ctx), verb, team); err != nil {
+	who, err := g.access.Allows(ctx, credential(ctx), verb, team)
+	if err != nil {
 		return "", err
 	}
-	return team, nil
+	return team, g.enter(ctx, team, who)
 }
 
 const (
@@ -186,9 +193,12 @@
 // failure is the status of an error of the store.
 func failure(err error) error {
 	var full *content.FullError
+	var busy *admission.BusyError
 	switch {
 	case err == nil:
 		return nil
+	case errors.As(err, &busy):
+		return retryLater(codes.ResourceExhausted, busy.RetryAfter, "%v", busy)
 	case errors.As(err, &full):
 		return retryLater(codes.ResourceExhausted, full.RetryAfter, "%v", full)
 	case errors.Is(err, content.ErrNotFound):
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -27,6 +27,7 @@
 	}
 	ctx, cancel := context.WithTimeout(out.Context(), transferTime(r.digest.Size))
 	defer cancel()
+	weigh(ctx, r.digest.Size)
 	space, err := g.space(ctx, r.instance, verbRead)
 	if err != nil {
 		return err
@@ -51,7 +52,7 @@
 	if limit := req.GetReadLimit(); limit > 0 {
 		from = io.LimitReader(blob, limit)
 	}
-	to := &sender{ctx: ctx, out: out}
+	to := &sender{ctx: ctx, pace: g.pace, out: out}
 	if !r.compressed {
 		_, err = io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, chunk))
 		return failure(err)
@@ -70,8 +71,9 @@
 // sender writes to a stream in messages of bounded size, for as long as the call
 // has time.
 type sender struct {
-	ctx context.Context
-	out bytestream.ByteStream_ReadServer
+	ctx  context.Context
+	pace func(ctx context.Context, bytes int) error
+	out  bytestream.ByteStream_ReadServer
 }
 
 // Write sends bytes. A client that reads too slowly has its call ended by the
@@ -83,6 +85,9 @@
 			return n, err
 		}
 		part := p[n:min(len(p), n+chunk)]
+		if err := s.pace(s.ctx, len(part)); err != nil {
+			return n, err
+		}
 		if err := s.out.Send(&bytestream.ReadResponse{Data: part}); err != nil {
 			return n, err
 		}
@@ -155,6 +160,7 @@
 	if err != nil {
 		return err
 	}
+	weigh(in.Context(), r.digest.Size)
 	space, err := g.space(in.Context(), r.instance, verbWrite)
 	if err != nil {
 		return err
@@ -201,6 +207,9 @@
 		if msg.GetWriteOffset() != p.received {
 			return true, status.Errorf(codes.InvalidArgument, "offset %d, but %d bytes have come", msg.GetWriteOffset(), p.received)
 		}
+		if err := g.pace(in.Context(), len(msg.GetData())); err != nil {
+			return true, err
+		}
 		if err := p.add(msg.GetData()); err != nil {
 			return false, err
 		}
