Gates read their blobs at rest and copy anew what a lost gate held

Need: after the loss of a gate its blobs stayed with one copy for good, and bytes changed on disk were found only when somebody read them after a restart. Change: internal/repair goes over a gate's blobs at a bounded pace: reads each, brings back what is corrupt, asks the other gates without promising, and copies to the first of the digest's order that lacks it. A gate that is away counts for repair.grace; passes go on where they were after a restart. Results and notes are told to the gates that should know.

--- a/cmd/spindlegate/main.go
+++ b/cmd/spindlegate/main.go
@@ -29,6 +29,7 @@
 	"micaspindle/internal/content"
 	"micaspindle/internal/gate"
 	"micaspindle/internal/identity"
+	"micaspindle/internal/repair"
 )
 
 type cli struct {
@@ -65,7 +66,13 @@
 	Copies int               `yaml:"copies"`
 	// Shares are what teams share by weight.
 	Shares shares `yaml:"shares"`
-	Store  struct {
+	// Repair bounds what reading at rest and copying anew take.
+	Repair struct {
+		BytesPerSecond float64       `yaml:"bytes_per_second"`
+		Every          time.Duration `yaml:"every"`
+		Grace          time.Duration `yaml:"grace"`
+	} `yaml:"repair"`
+	Store struct {
 		Dir     string        `yaml:"dir"`
 		MaxGB   float64       `yaml:"max_gb"`
 		MaxBlob float64       `yaml:"max_blob_mb"`
@@ -83,6 +90,7 @@
 		return nil, err
 	}
 	s := &settings{Class: "build", Copies: 1, Shares: defaultShares()}
+	s.Repair.BytesPerSecond, s.Repair.Every, s.Repair.Grace = 20e6, 10*time.Minute, 2*time.Minute
 	s.Store.MaxGB, s.Store.MaxBlob, s.Store.Promise, s.Store.Results = 10, 1024, 10*time.Minute, 1_000_000
 	dec := yaml.NewDecoder(bytes.NewReader(data))
 	dec.KnownFields(true)
@@ -122,6 +130,9 @@
 	if err := s.Shares.check(s.teams()); err != nil {
 		return nil, fmt.Errorf("shares: %w", err)
 	}
+	if r := s.repair(); r.Check() != nil {
+		return nil, fmt.Errorf("repair: %w", r.Check())
+	}
 	for addr, name := range s.Peers {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return nil, fmt.Errorf("peers: not an address: %q", addr)
@@ -138,6 +149,10 @@
 	return s, nil
 }
 
+func (s *settings) repair() repair.Settings {
+	return repair.Settings{Copies: s.Copies, BytesPerSecond: s.Repair.BytesPerSecond, Every: s.Repair.Every, Grace: s.Repair.Grace}
+}
+
 func serve(ctx context.Context, s *settings, log *slog.Logger) error {
 	store, found, err := content.Open(filepath.Join(s.Store.Dir, "content"), content.Options{MaxBytes: int64(s.Store.MaxGB * 1e9),
 		MaxBlob: int64(s.Store.MaxBlob * 1e6), Promise: s.Store.Promise, Quotas: s.Shares.quotas(int64(s.Store.MaxGB*1e9), s.teams())})
@@ -214,6 +229,11 @@
 	g := gate.New(config, store, results, access, gate.NewPeers(s.Copies, conns, log), jobs, log)
 	server := g.Server(opts...)
 	go g.Sweep(ctx, gate.DefaultLinger)
+	fixer, err := g.Repair(s.repair(), filepath.Join(s.Store.Dir, "repair.json"), log)
+	if err != nil {
+		return usageError{err}
+	}
+	go fixer.Run(ctx)
 	go func() {
 		<-ctx.Done()
 		// Calls that are under way may end; those that don't are cut off.
--- a/cmd/spindlegate/main_test.go
+++ b/cmd/spindlegate/main_test.go
@@ -58,6 +58,8 @@
 		"client over all": {good + "shares: {actions: 10, actions_client: 11}\n", "actions_client"},
 		"quota over all":  {good + "shares: {store_quota: 1.5}\n", "store_quota"},
 		"no rate":         {good + "shares: {bytes_per_second: .nan}\n", "bytes_per_second"},
+		"no pace":         {good + "repair: {bytes_per_second: 0}\n", "repair: bytes_per_second"},
+		"too often":       {good + "repair: {every: 1ms}\n", "repair: every"},
 		"below 0":         {good + "shares: {queue: -1}\n", "queue"},
 	} {
 		if err := os.WriteFile(file, []byte(tc.text), 0o600); err != nil {
--- a/internal/content/content.go
+++ b/internal/content/content.go
@@ -560,23 +560,92 @@
 	if checked {
 		return nil
 	}
+	if err := s.reread(k, r); err != nil {
+		if errors.Is(err, ErrMismatch) {
+			err = ErrNotFound
+		}
+		return err
+	}
+	if _, err := r.Seek(0, io.SeekStart); err != nil {
+		return fmt.Errorf("content: %w", err)
+	}
+	s.mu.Lock()
+	e.verified = true
+	s.mu.Unlock()
+	return nil
+}
+
+// reread reads a blob's bytes; one that is not what it should be is removed. A disk
+// that does not answer proves nothing about it.
+func (s *Store) reread(k Key, r *Reader) error {
 	h := sha256.New()
 	n, err := io.Copy(h, r.SectionReader)
+	if err != nil && !errors.Is(err, syscall.EIO) {
+		return fmt.Errorf("content: %w", err)
+	}
 	if err != nil || n != k.Size || hex.EncodeToString(h.Sum(nil)) != k.Hash {
 		s.mu.Lock()
 		s.corrupt++
 		s.mu.Unlock()
 		s.forget(k)
 		_ = os.Remove(s.path(k))
+		return ErrMismatch
+	}
+	return nil
+}
+
+// Keys are all blobs that are here, in no order.
+func (s *Store) Keys() []Key {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Key, 0, len(s.entries))
+	for k := range s.entries {
+		out = append(out, k)
+	}
+	return out
+}
+
+// Verify reads a blob's bytes at rest, and changes nothing about when it goes. One
+// that is not what it should be is removed, which ErrMismatch tells.
+func (s *Store) Verify(k Key) error {
+	s.mu.Lock()
+	e := s.entries[k]
+	if e != nil {
+		e.pins++
+	}
+	s.mu.Unlock()
+	if e == nil {
 		return ErrNotFound
 	}
-	if _, err := r.Seek(0, io.SeekStart); err != nil {
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		e.pins--
+	}()
+	f, err := os.Open(s.path(k))
+	if errors.Is(err, fs.ErrNotExist) {
+		s.forget(k)
+		return ErrNotFound
+	}
+	if err != nil {
 		return fmt.Errorf("content: %w", err)
 	}
+	r := &Reader{SectionReader: io.NewSectionReader(f, 0, k.Size+1), f: f, unpin: func() {}}
+	defer r.Close() //nolint:errcheck // only read
+	return s.reread(k, r)
+}
+
+// Lacks says which blobs are not here, without promising those that are.
+func (s *Store) Lacks(space string, digests []Digest) []Digest {
 	s.mu.Lock()
-	e.verified = true
-	s.mu.Unlock()
-	return nil
+	defer s.mu.Unlock()
+	var out []Digest
+	for _, d := range digests {
+		if d != Empty && s.entries[Key{space, d}] == nil {
+			out = append(out, d)
+		}
+	}
+	return out
 }
 
 // forget takes a blob out of the books.
--- a/internal/content/results.go
+++ b/internal/content/results.go
@@ -77,6 +77,13 @@
 	return filepath.Join(r.dir, hex.EncodeToString([]byte(k.Space)), k.Hash)
 }
 
+// Keys are all records' keys.
+func (r *Results) Keys() []Key {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known.Keys()
+}
+
 // Get reads a record; one whose checksum does not fit is removed and not here.
 func (r *Results) Get(space string, d Digest) ([]byte, error) {
 	k := Key{space, Digest{d.Hash, 0}}
--- a/internal/gate/bench_test.go
+++ b/internal/gate/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"sync"
@@ -12,6 +13,7 @@
 	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
 
 	"micaspindle/internal/content"
+	"micaspindle/internal/repair"
 )
 
 // Command: GATE_THROUGHPUT=1 go test -run TestThroughput -v ./internal/gate
@@ -99,3 +101,42 @@
 	t.Logf("up %.0f MB/s, %.2f of writing files (%.0f); down %.0f MB/s, %.2f of copying files (%.0f); %.0f results a second to one client",
 		up, up/write, write, down, down/read, read, float64(hits)/time.Since(begun).Seconds())
 }
+
+// Command: GATE_THROUGHPUT=1 go test -run TestRepairSpeed -v ./internal/gate
+//
+// Copying what a lost gate held to another one, unpaced, against a client writing
+// the same blobs to one gate.
+func TestRepairSpeed(t *testing.T) {
+	if os.Getenv("GATE_THROUGHPUT") == "" {
+		t.Skip("a measurement; set GATE_THROUGHPUT=1")
+	}
+	s := startSeveral(t, 2, 1)
+	a := s.clients[0]
+	const blobs, size = 30, 1 << 20
+	begun := time.Now()
+	for range blobs {
+		data := random(size)
+		if _, err := a.upload("uploads/1/blobs/"+content.Of(data).String(), data, 0, chunk, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write := float64(blobs*size) / 1e6 / time.Since(begun).Seconds()
+	r, err := s.gates[0].Repair(repair.Settings{Copies: 2, BytesPerSecond: 1e12, Every: time.Minute}, filepath.Join(t.TempDir(), "at"), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	begun = time.Now()
+	if err := r.Pass(a.ctx); err != nil {
+		t.Fatal(err)
+	}
+	took := time.Since(begun).Seconds()
+	if p := r.Progress(); p.Copied != blobs {
+		t.Fatalf("%+v", p)
+	}
+	begun = time.Now()
+	if err := r.Pass(a.ctx); err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("copied at %.0f MB/s, %.2f of a client's writing (%.0f); read at rest at %.0f MB/s", float64(blobs*size)/1e6/took,
+		float64(blobs*size)/1e6/took/write, write, float64(blobs*size)/1e6/time.Since(begun).Seconds())
+}
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -25,6 +25,10 @@
 // from this gate's own folder only, so that gates never ask in circles.
 const peerMark = "micaspindle-peer"
 
+// lookMark is in the metadata of a gate's question what another one holds, where
+// nobody relies on the answer: nothing is promised.
+const lookMark = "micaspindle-look"
+
 const (
 	// peerTime bounds a small call to another gate; one that does not answer is
 	// passed over.
@@ -70,15 +74,17 @@
 		return nil
 	}
 	now := time.Now().UnixMilli()
+	return slices.DeleteFunc(p.rank(hash), func(g *peerGate) bool { return g.rests.Load() > now })
+}
+
+// rank are all other gates in the digest's order.
+func (p *Peers) rank(hash string) []*peerGate {
 	type weighed struct {
 		gate   *peerGate
 		weight uint64
 	}
 	var list []weighed
 	for _, g := range p.gates {
-		if g.rests.Load() > now {
-			continue
-		}
 		h := fnv.New64a()
 		_, _ = io.WriteString(h, g.addr+" "+hash)
 		list = append(list, weighed{g, h.Sum64()})
@@ -112,10 +118,13 @@
 // missing says which blobs neither this gate nor another one has. Whoever has
 // one promises it.
 func (g *Gate) missing(ctx context.Context, instance, space string, digests []content.Digest) []content.Digest {
-	left := g.store.Missing(space, digests)
 	if g.fromPeer(ctx) {
-		return left
+		if md, _ := metadata.FromIncomingContext(ctx); len(md.Get(lookMark)) > 0 {
+			return g.store.Lacks(space, digests)
+		}
+		return g.store.Missing(space, digests)
 	}
+	left := g.store.Missing(space, digests)
 	for _, p := range g.peers.inOrder("") {
 		if len(left) == 0 {
 			break
--- a/internal/gate/peers_test.go
+++ b/internal/gate/peers_test.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"io/fs"
 	"log/slog"
 	"net"
+	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"micaspindle/internal/content"
+	"micaspindle/internal/repair"
 )
 
 // several starts gates that know each other.
@@ -26,6 +30,8 @@
 	stores  []*content.Store
 	servers []*grpc.Server
 	peers   []*Peers
+	gates   []*Gate
+	dirs    []string
 }
 
 func startSeveral(t *testing.T, n, copies int) *several {
@@ -68,7 +74,9 @@
 		config.MaxBlob = roomy.MaxBlob
 		config.IsPeer = func(context.Context) bool { return true }
 		peers := NewPeers(copies, others, slog.New(slog.DiscardHandler))
-		server := New(config, store, results, Open{}, peers, nil, slog.New(slog.DiscardHandler)).Server()
+		g := New(config, store, results, Open{}, peers, nil, slog.New(slog.DiscardHandler))
+		s.gates, s.dirs = append(s.gates, g), append(s.dirs, dir)
+		server := g.Server()
 		go func() { _ = server.Serve(listeners[i]) }()
 		t.Cleanup(func() { server.Stop(); _ = store.Close() })
 		conn := conns[l.Addr().String()]
@@ -188,3 +196,91 @@
 	_, err := b.cas.FindMissingBlobs(b.ctx, &repb.FindMissingBlobsRequest{})
 	b.code(err, codes.Unauthenticated)
 }
+
+// A gate is gone for good: the others copy anew what it held, and also what was
+// changed on a disk comes back from another gate. Asking promises nothing.
+func TestRepairAfterALoss(t *testing.T) {
+	s := startSeveral(t, 3, 2)
+	a := s.clients[0]
+	blobs := map[string][]byte{}
+	var digests []*repb.Digest
+	for i := range 30 {
+		data := random(1000 + 20_000*i)
+		if _, err := a.upload("uploads/1/blobs/"+content.Of(data).String(), data, 0, 100_000, true); err != nil {
+			t.Fatal(err)
+		}
+		blobs[content.Of(data).Hash] = data
+		digests = append(digests, wire(content.Of(data)))
+	}
+	action := wire(content.Of([]byte("action")))
+	result := &repb.ActionResult{OutputFiles: []*repb.OutputFile{{Path: "o", Digest: digests[0]}}}
+	if _, err := a.ac.UpdateActionResult(a.ctx, &repb.UpdateActionResultRequest{ActionDigest: action, ActionResult: result}); err != nil {
+		t.Fatal(err)
+	}
+	s.servers[0].Stop()
+	settings := repair.Settings{Copies: 2, BytesPerSecond: 1e9, Every: time.Minute}
+	for i := 1; i < 3; i++ {
+		r, err := s.gates[i].Repair(settings, filepath.Join(t.TempDir(), "at"), slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := r.Pass(a.ctx); err != nil {
+			t.Fatal(err)
+		}
+		if p := r.Progress(); len(p.Gone) != 1 || p.Short != 0 {
+			t.Errorf("gate %d: %+v", i, p)
+		}
+	}
+	for i := 1; i < 3; i++ {
+		if n := s.stores[i].Stats().Blobs; n != 30 {
+			t.Errorf("gate %d holds %d of 30 blobs", i, n)
+		}
+	}
+	// One more goes; the last one has everything, results too.
+	s.servers[1].Stop()
+	c := s.clients[2]
+	for _, d := range digests {
+		if got, err := c.download("blobs/"+digestOf(d).String(), 0, 0); err != nil || !bytes.Equal(got, blobs[d.Hash]) {
+			t.Errorf("%d bytes, %v", len(got), err)
+		}
+	}
+	if _, err := c.ac.GetActionResult(c.ctx, &repb.GetActionResultRequest{ActionDigest: action}); err != nil {
+		t.Errorf("the result went with its gates: %v", err)
+	}
+}
+
+// A flipped bit is found at rest and mended from a copy.
+func TestRepairOfAFlippedBit(t *testing.T) {
+	s := startSeveral(t, 2, 2)
+	a := s.clients[0]
+	data := random(100_000)
+	d := a.blob(data)
+	file := ""
+	_ = filepath.WalkDir(s.dirs[0], func(path string, _ fs.DirEntry, _ error) error {
+		if strings.Contains(path, d.Hash) {
+			file = path
+		}
+		return nil
+	})
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw[5000] ^= 1
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r, err := s.gates[0].Repair(repair.Settings{Copies: 2, BytesPerSecond: 1e9, Every: time.Minute}, filepath.Join(t.TempDir(), "at"), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Pass(a.ctx); err != nil {
+		t.Fatal(err)
+	}
+	if p := r.Progress(); p.Corrupt != 1 || p.Restored != 1 {
+		t.Errorf("%+v", p)
+	}
+	if got, err := os.ReadFile(file); err != nil || !bytes.Equal(got, data) {
+		t.Errorf("%d bytes on disk, %v", len(got), err)
+	}
+}
