Build clients by certificate; what was accepted outlives the client's credential

Need: clients could prove themselves by token only, and when a token ended while its action ran or lingered, the client was cut off and the gate could not withdraw the job. Change: a service that holds the new verb vouch says for whom it asks (On-Behalf-Of, with its own certificate, never a token); the controllers decide by that one's rights, and by the service's own for following and ending. Gates vouch for clients whose certificate they saw, and go on for whom it was when a credential ends. The audit names both.

--- a/cmd/spindlegate/main.go
+++ b/cmd/spindlegate/main.go
@@ -201,6 +201,13 @@
 			names[name] = true
 		}
 		config.IsPeer = func(ctx context.Context) bool { return names[certifiedName(ctx)] }
+		config.Certified = func(ctx context.Context) string {
+			name, err := identity.ParseName(certifiedName(ctx))
+			if err != nil || !name.Caller() {
+				return ""
+			}
+			return name.String()
+		}
 		config.IsWorker = func(ctx context.Context) bool {
 			return strings.HasPrefix(certifiedName(ctx), string(identity.Worker)+"/")
 		}
@@ -261,7 +268,8 @@
 		return ""
 	}
 	name, err := identity.FromCertificate(info.State.PeerCertificates[0])
-	if err != nil {
+	// The connection may have been open for longer than the certificate is good.
+	if err != nil || time.Now().After(info.State.PeerCertificates[0].NotAfter) {
 		return ""
 	}
 	return name.String()
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -34,6 +34,8 @@
 	Controllers []string
 	// Token goes with every request, if there is one.
 	Token string
+	// OnBehalfOf names for whom a service asks; the controllers see that it may.
+	OnBehalfOf string
 	// Patience is how long a request is tried again.
 	Patience time.Duration
 
@@ -55,7 +57,7 @@
 
 // At is the same client, speaking to one controller only.
 func (c *Client) At(addr string) *Client {
-	return &Client{Controllers: []string{addr}, Token: c.Token, Patience: c.Patience, scheme: c.scheme, http: c.http}
+	return &Client{Controllers: []string{addr}, Token: c.Token, OnBehalfOf: c.OnBehalfOf, Patience: c.Patience, scheme: c.scheme, http: c.http}
 }
 
 // With is the same client with somebody else's token.
@@ -63,6 +65,11 @@
 	return &Client{Controllers: c.Controllers, Token: token, Patience: c.Patience, scheme: c.scheme, http: c.http}
 }
 
+// For is the same client, asking for somebody with the process's own certificate.
+func (c *Client) For(name string) *Client {
+	return &Client{Controllers: c.Controllers, OnBehalfOf: name, Patience: c.Patience, scheme: c.scheme, http: c.http}
+}
+
 // Refusal is an answer that refuses.
 type Refusal struct {
 	Status int
@@ -149,6 +156,9 @@
 	if c.Token != "" {
 		req.Header.Set("Authorization", "Bearer "+c.Token)
 	}
+	if c.OnBehalfOf != "" {
+		req.Header.Set("On-Behalf-Of", c.OnBehalfOf)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, 0, plain(err)
--- a/internal/coordination/door.go
+++ b/internal/coordination/door.go
@@ -98,6 +98,8 @@
 	name string
 	how  string
 	from string
+	// through is the service that vouches for the caller; "": it asks itself.
+	through string
 }
 
 // record begins the audit record of what a caller does; nil while nobody asks
@@ -159,6 +161,10 @@
 		return nil, c.deny(who, verb, rights.Queue{}, "", 401, "no credential")
 	}
 	who.name = name.String()
+	if req.OnBehalfOf != "" {
+		refusal := c.vouched(who, name, issued.IsZero(), req.OnBehalfOf, verb)
+		return who, refusal
+	}
 	if !name.Caller() {
 		return nil, c.deny(who, verb, rights.Queue{}, "", 403, "a "+string(name.Kind)+" sends no users' requests")
 	}
@@ -176,6 +182,27 @@
 	return who, nil
 }
 
+// vouched makes a service's request that of whom it names. The service must have
+// shown its certificate and hold the right to vouch; what may be done is decided
+// by the rights of the one who is named.
+func (c *Controller) vouched(who *caller, service identity.Name, certified bool, behalf, verb string) *transport.Response {
+	view := c.guard.policy.Load()
+	if view == nil || !c.guard.current() {
+		resp := refuse(503, "policy is not up to date here", 1)
+		return &resp
+	}
+	if !certified || service.Kind != identity.Service || !view.rights.HoldsAny(who.name, rights.Vouch) {
+		return c.deny(who, verb, rights.Queue{}, "", 403, "vouches for "+clip(behalf)+", which it may not")
+	}
+	name, err := identity.ParseName(behalf)
+	if err != nil || !name.Caller() {
+		return c.deny(who, verb, rights.Queue{}, "", 403, "vouches for "+clip(behalf)+", who can be no caller")
+	}
+	who.through, who.name = who.name, name.String()
+	who.how = "vouched for by " + who.through + ", " + who.how
+	return nil
+}
+
 // certified reads the name in a certificate that the handshake has verified. The
 // connection may have been open for longer than the certificate is good.
 func (c *Controller) certified(req *transport.Request) (identity.Name, error) {
@@ -195,15 +222,37 @@
 	return view.version == 0 && g.bootstrap != "" && name == g.bootstrap
 }
 
+// ownOfService are the rights that a service uses of its own even where it says
+// for whom: it follows and ends what it was allowed to begin, whatever has become
+// of those for whom it did.
+const ownOfService = rights.View | rights.Withdraw
+
 // allows says whether a caller holds a verb on a queue.
 func (g *guard) allows(who *caller, v rights.Verb, q rights.Queue) bool {
-	return g.policy.Load().rights.Allows(who.name, v, q)
+	p := g.policy.Load().rights
+	if who.through == "" {
+		return p.Allows(who.name, v, q)
+	}
+	return p.Allows(who.name, v, q) && p.Allows(who.through, rights.Vouch, q) || v&ownOfService != 0 && p.Allows(who.through, v, q)
+}
+
+// holdsAny says whether a caller holds a verb on some queue.
+func (g *guard) holdsAny(who *caller, v rights.Verb) bool {
+	p := g.policy.Load().rights
+	return p.HoldsAny(who.name, v) || who.through != "" && v&ownOfService != 0 && p.HoldsAny(who.through, v)
+}
+
+// everywhere says whether a caller holds a verb on every queue.
+func (g *guard) everywhere(who *caller, v rights.Verb) bool {
+	p := g.policy.Load().rights
+	return p.AllowsEverywhere(who.name, v) && (who.through == "" || p.AllowsEverywhere(who.through, rights.Vouch))
 }
 
 // administers says whether a caller may change the policy and read the audit.
 func (g *guard) administers(who *caller) bool {
+	// Nobody administers through a service.
 	view := g.policy.Load()
-	return view.rights.AllowsEverywhere(who.name, rights.Administer) || g.bootstraps(view, who.name)
+	return who.through == "" && (view.rights.AllowsEverywhere(who.name, rights.Administer) || g.bootstraps(view, who.name))
 }
 
 // admitJob says whether a caller may do something with a job, and refuses with
@@ -216,14 +265,13 @@
 		return q, nil
 	}
 	verb := v.String()
-	policy := g.policy.Load().rights
-	if !policy.HoldsAny(who.name, v) {
+	if !g.holdsAny(who, v) {
 		return q, c.deny(who, verb, q, id, 403, "holds this right on no queue")
 	}
-	everywhere := policy.AllowsEverywhere(who.name, v)
+	everywhere := g.everywhere(who, v)
 	known := false
 	c.do(func() { q, known = c.queues.of(id) })
-	if known && policy.Allows(who.name, v, q) {
+	if known && g.allows(who, v, q) {
 		return q, nil
 	}
 	// Somebody else's job is read like one that this controller does not know,
@@ -244,7 +292,7 @@
 		resp := unavailable(err)
 		return q, &resp
 	default:
-		if q = (rights.Queue{Team: spec.Team, Class: spec.Class}); policy.Allows(who.name, v, q) {
+		if q = (rights.Queue{Team: spec.Team, Class: spec.Class}); g.allows(who, v, q) {
 			return q, nil
 		}
 	}
@@ -378,8 +426,8 @@
 func (c *Controller) whoami(who *caller) transport.Response {
 	view := c.guard.policy.Load()
 	var held []string
-	for _, v := range []rights.Verb{rights.Submit, rights.View, rights.ViewArguments, rights.Withdraw, rights.Reassign, rights.Administer} {
-		if view.rights.HoldsAny(who.name, v) {
+	for _, v := range []rights.Verb{rights.Submit, rights.View, rights.ViewArguments, rights.Withdraw, rights.Reassign, rights.Administer, rights.Vouch} {
+		if c.guard.holdsAny(who, v) {
 			held = append(held, v.String())
 		}
 	}
--- a/internal/coordination/reassign.go
+++ b/internal/coordination/reassign.go
@@ -153,7 +153,7 @@
 	})
 	answer := protocol.SweepResult{}
 	jobs = slices.DeleteFunc(jobs, func(f found) bool {
-		if c.guard.allows(who, rights.Administer, f.queue) {
+		if who.through == "" && c.guard.allows(who, rights.Administer, f.queue) {
 			return false
 		}
 		answer.NotAllowed++
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -75,7 +75,7 @@
 		return known("GET", "may", func(who *caller) transport.Response { return c.may(who, req) })
 	case req.Path == "/withdrawals":
 		return known("POST", "withdraw-all", func(who *caller) transport.Response {
-			if !c.guard.policy.Load().rights.HoldsAny(who.name, rights.Administer) {
+			if who.through != "" || !c.guard.holdsAny(who, rights.Administer) {
 				return *c.deny(who, "withdraw-all", rights.Queue{}, "", 403, "administers no queue")
 			}
 			return c.sweep(ctx, who, req)
@@ -250,7 +250,7 @@
 		id = *sub.ID
 	}
 	if sub.Team == nil || sub.Class == nil {
-		if !c.guard.policy.Load().rights.HoldsAny(who.name, rights.Submit) {
+		if !c.guard.holdsAny(who, rights.Submit) {
 			return q, c.deny(who, "submit", q, id, 403, "holds this right on no queue")
 		}
 		return q, nil
--- a/internal/gate/access.go
+++ b/internal/gate/access.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"errors"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,15 +19,35 @@
 	"micaspindle/internal/protocol"
 )
 
-// credential is the client's token, as it came.
-func credential(ctx context.Context) string {
+// vouching begins the credential of a client whose certificate this gate has seen
+// itself; a name follows. Nothing that a client sends is taken for one.
+const vouching = "certificate "
+
+// credential is the client's token, as it came, or else what its certificate says.
+func (g *Gate) credential(ctx context.Context) string {
 	md, _ := metadata.FromIncomingContext(ctx)
-	if v := md.Get("authorization"); len(v) == 1 {
+	switch v := md.Get("authorization"); {
+	case len(v) == 1 && !strings.HasPrefix(v[0], vouching):
 		return v[0]
+	case len(v) > 0 || g.config.Certified == nil:
+		return ""
+	}
+	if name := g.config.Certified(ctx); name != "" {
+		return vouching + name
 	}
 	return ""
 }
 
+// as is a client that asks the controllers for whoever has a credential; false: it
+// is none.
+func as(c *client.Client, credential string) (*client.Client, bool) {
+	if name, ok := strings.CutPrefix(credential, vouching); ok {
+		return c.For(name), true
+	}
+	token, ok := bearer(credential)
+	return c.With(token), ok
+}
+
 // Open allows everything to everybody, for clusters without identities.
 type Open struct{}
 
@@ -79,9 +100,9 @@
 
 // Allows asks, or remembers what was answered within the last second.
 func (a *Asker) Allows(ctx context.Context, credential, verb, team string) (string, error) {
-	token, ok := bearer(credential)
+	asker, ok := as(a.controllers, credential)
 	if !ok {
-		return "", status.Error(codes.Unauthenticated, "send a token: authorization: Bearer ...")
+		return "", status.Error(codes.Unauthenticated, "send a token: authorization: Bearer ..., or show a certificate")
 	}
 	q := question{sha256.Sum256([]byte(credential)), verb, team}
 	got, ok := a.answers.Get(q)
@@ -94,7 +115,7 @@
 		defer cancel()
 		var who protocol.WhoAmI
 		target := "/may?verb=" + url.QueryEscape(verb) + "&team=" + url.QueryEscape(team) + "&class=" + url.QueryEscape(a.class)
-		err := a.controllers.With(token).Do(ctx, "GET", target, nil, &who)
+		err := asker.Do(ctx, "GET", target, nil, &who)
 		got.who, got.err = who.Name, refused(err)
 		got.at.Store(time.Now().UnixMilli())
 	})
@@ -119,7 +140,7 @@
 	case err == nil:
 		return nil
 	case errors.As(err, &r) && r.Status == 401:
-		return status.Error(codes.Unauthenticated, "the token proves nothing now")
+		return status.Error(codes.Unauthenticated, "the credential proves nothing now")
 	case errors.As(err, &r) && r.Status == 403:
 		return status.Error(codes.PermissionDenied, "not allowed")
 	}
--- a/internal/gate/admit.go
+++ b/internal/gate/admit.go
@@ -76,7 +76,7 @@
 		return nil
 	}
 	if who == "" {
-		who = stranger(credential(ctx))
+		who = stranger(g.credential(ctx))
 	}
 	v.team, v.who = team, who
 	if v.queue == nil {
@@ -90,10 +90,13 @@
 	return nil
 }
 
+// strangers begin the names of clients that nobody asks for theirs.
+const strangers = "credential "
+
 // stranger tells clients apart whose names nobody asks for.
 func stranger(credential string) string {
 	sum := sha256.Sum256([]byte(credential))
-	return "credential " + hex.EncodeToString(sum[:8])
+	return strangers + hex.EncodeToString(sum[:8])
 }
 
 // weigh makes a transfer cost what it is about to move.
@@ -103,6 +106,14 @@
 	}
 }
 
+// knownName is the name of a client, "" if nobody has asked for it.
+func knownName(who string) string {
+	if strings.HasPrefix(who, strangers) {
+		return ""
+	}
+	return who
+}
+
 // over gives the place back.
 func (v *visit) over() {
 	if v != nil && v.leave != nil {
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -59,6 +59,7 @@
 type interest struct {
 	followers  int
 	credential string
+	who        string    // by name, if it is known
 	left       time.Time // when the last one went
 }
 
@@ -66,7 +67,7 @@
 const DefaultLinger = time.Minute
 
 // join notes that a client waits for a job.
-func (g *Gate) join(job, cred string) {
+func (g *Gate) join(job, cred, who string) {
 	g.gather.mu.Lock()
 	defer g.gather.mu.Unlock()
 	w := g.gather.wanted[job]
@@ -75,7 +76,7 @@
 		g.gather.wanted[job] = w
 	}
 	w.followers++
-	w.credential = cred
+	w.credential, w.who = cred, who
 }
 
 // leave notes that a client waits no longer.
@@ -92,19 +93,20 @@
 // withdrawUnwanted withdraws jobs that nobody has waited for in a while; those
 // that have ended by then are only forgotten.
 func (g *Gate) withdrawUnwanted(ctx context.Context, linger time.Duration) {
-	type gone struct{ job, credential string }
+	type gone struct{ job, credential, who string }
 	var list []gone
 	g.gather.mu.Lock()
 	for job, w := range g.gather.wanted {
 		if w.followers == 0 && time.Since(w.left) > linger {
-			list = append(list, gone{job, w.credential})
+			list = append(list, gone{job, w.credential, w.who})
 			delete(g.gather.wanted, job)
 		}
 	}
 	g.gather.mu.Unlock()
 	for _, u := range list {
 		// A job that is done stays done.
-		if err := g.jobs.Withdraw(ctx, u.credential, u.job); err != nil {
+		err := g.persist(u.credential, u.who, func(cred string) error { return g.jobs.Withdraw(ctx, cred, u.job) })
+		if err != nil {
 			g.log.Info("unwanted job not withdrawn", "job", u.job, "reason", err)
 		}
 	}
@@ -122,6 +124,18 @@
 	}
 }
 
+// persist does something with a client's credential, or, if that has ended since,
+// as this gate for whom it was: what was accepted goes on, and what nobody wants
+// ends, by this gate's own rights.
+func (g *Gate) persist(cred, who string, f func(cred string) error) error {
+	err := f(cred)
+	var r *client.Refusal
+	if who != "" && cred != vouching+who && errors.As(err, &r) && (r.Status == 401 || r.Status == 403) {
+		return f(vouching + who)
+	}
+	return err
+}
+
 type lotKey struct {
 	client   [sha256.Size]byte
 	instance string
@@ -311,7 +325,7 @@
 	if action.GetDoNotCache() || req.GetSkipCacheLookup() {
 		salt = rand.Text()
 	}
-	t, err := g.enlist(ctx, instance, space, credential(ctx), n, ManifestEntry{Execution: executionKey(digest, salt), Hash: digest.Hash, Size: digest.Size})
+	t, err := g.enlist(ctx, instance, space, g.credential(ctx), n, ManifestEntry{Execution: executionKey(digest, salt), Hash: digest.Hash, Size: digest.Size})
 	if err != nil {
 		return err
 	}
@@ -414,7 +428,9 @@
 		}
 	}
 	if err == nil {
-		err = g.jobs.Submit(ctx, cred, submission(id, k.Space, g.config.Class, imageOf(k.Digest, lk.instance), lk.needs, len(tasks)))
+		err = g.persist(cred, knownName(tasks[0].caller), func(cred string) error {
+			return g.jobs.Submit(ctx, cred, submission(id, k.Space, g.config.Class, imageOf(k.Digest, lk.instance), lk.needs, len(tasks)))
+		})
 	}
 	if err == nil {
 		g.gather.jobs.Add(1)
@@ -443,7 +459,7 @@
 	if errors.As(err, &r) {
 		switch r.Status {
 		case 401:
-			return status.Error(codes.Unauthenticated, "the token proves nothing now")
+			return status.Error(codes.Unauthenticated, "the credential proves nothing now")
 		case 403:
 			return status.Error(codes.PermissionDenied, "not allowed")
 		case 400, 422:
@@ -550,7 +566,11 @@
 
 // follow tells a client how its task stands until it has its result.
 func (g *Gate) follow(ctx context.Context, out operationSender, t *task) error {
-	g.join(t.job, credential(ctx))
+	cred, who := g.credential(ctx), ""
+	if v := visitOf(ctx); v != nil {
+		who = knownName(v.who)
+	}
+	g.join(t.job, cred, who)
 	defer g.leave(t.job)
 	name, action := t.operation(), t.entry.Action()
 	stage := repb.ExecutionStage_QUEUED
@@ -572,7 +592,11 @@
 		}
 		if time.Since(asked) > statusEvery {
 			asked = time.Now()
-			st, err := g.jobs.Status(ctx, credential(ctx), t.job)
+			var st protocol.JobStatus
+			err := g.persist(cred, who, func(cred string) (err error) {
+				st, err = g.jobs.Status(ctx, cred, t.job)
+				return err
+			})
 			var r *client.Refusal
 			switch {
 			case errors.As(err, &r) && (r.Status == 401 || r.Status == 403):
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -72,6 +72,9 @@
 	// IsPeer says whether a call that calls itself one of another gate is that;
 	// nil: no call is.
 	IsPeer func(ctx context.Context) bool
+	// Certified is the name of a client that has shown a certificate, "" if none;
+	// nil: nobody is asked for one.
+	Certified func(ctx context.Context) string
 	// IsWorker says the same of calls that call themselves a worker's.
 	IsWorker func(ctx context.Context) bool
 }
@@ -162,7 +165,7 @@
 	if g.fromPeer(ctx) || g.fromWorker(ctx) {
 		return team, nil // a gate has asked for its own client; workers run all teams' tasks
 	}
-	who, err := g.access.Allows(ctx, credential(ctx), verb, team)
+	who, err := g.access.Allows(ctx, g.credential(ctx), verb, team)
 	if err != nil {
 		return "", err
 	}
--- a/internal/gate/jobs.go
+++ b/internal/gate/jobs.go
@@ -8,14 +8,15 @@
 	"micaspindle/internal/protocol"
 )
 
-// Controllers submits actions' jobs and asks for them, with the client's token.
+// Controllers submits actions' jobs and asks for them, as the client's
+// credential says.
 type Controllers struct{ Client *client.Client }
 
 const statusTime = 5 * time.Second
 
 func (c Controllers) as(credential string) *client.Client {
-	token, _ := bearer(credential)
-	return c.Client.With(token)
+	one, _ := as(c.Client, credential)
+	return one
 }
 
 // Submit submits a job until it is accepted, as users do.
--- a/internal/lab/hosted.go
+++ b/internal/lab/hosted.go
@@ -176,12 +176,13 @@
 }
 
 // beginning is the policy that a cluster of the laboratory begins with.
-func beginning() *rights.Document {
+func beginning(gates []*Gate) *rights.Document {
 	all := []string{"submit", "view", "view-arguments", "withdraw", "reassign", "administer"}
-	return &rights.Document{
+	d := &rights.Document{
 		Roles: []rights.Role{
 			{Name: "administrator", Rules: []rights.Rule{{Verbs: all, Team: "*", Class: "*"}}},
 			{Name: "builder", Rules: []rights.Rule{{Verbs: all[:4], Team: "*", Class: "build"}}},
+			{Name: "gate", Rules: []rights.Rule{{Verbs: []string{"vouch", "view", "withdraw"}, Team: "*", Class: "build"}}},
 			{Name: "clerk", Rules: []rights.Rule{{Verbs: []string{"submit", "view", "withdraw", "reassign"}, Team: "placements-desk", Class: "*"}}},
 			{Name: "guest", Rules: []rights.Rule{{Verbs: []string{"view"}, Team: "*", Class: "*"}}},
 			{Name: "refunds", Rules: []rights.Rule{{Verbs: all[:4], Team: "payments", Class: "refund-batch"}}},
@@ -189,12 +190,16 @@
 		Identities: []rights.Identity{{Name: "person/anna", Roles: []string{"clerk"}}, {Name: "person/partner", Roles: []string{"guest"}},
 			{Name: Administrator, Roles: []string{"administrator"}}, {Name: Builder, Roles: []string{"builder"}}, {Name: "service/refunds", Roles: []string{"refunds"}}},
 	}
+	for _, g := range gates {
+		d.Identities = append(d.Identities, rights.Identity{Name: "service/" + g.Label, Roles: []string{"gate"}})
+	}
+	return d
 }
 
 // WritePolicy writes the first policy, from a file if one is named, and waits
 // until every controller follows it.
 func (c *Cluster) WritePolicy(ctx context.Context, file string) error {
-	doc := beginning()
+	doc := beginning(c.gates)
 	if file != "" {
 		data, err := os.ReadFile(file)
 		if err != nil {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -9,10 +9,12 @@
 	"time"
 
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
 	"micaspindle/internal/buildtool"
 	"micaspindle/internal/client"
+	"micaspindle/internal/identity"
 )
 
 // controllerBinary builds the controller once for the tests of this package.
@@ -99,6 +101,26 @@
 	if first := reports[0].Report; first.Actions != 67 || first.Cached != 0 || first.Jobs == 0 || first.Jobs > 40 || c.Gates()[0].Kills != 1 {
 		t.Errorf("%+v", first)
 	}
+	// A certificate proves the same as a token, and gives no more.
+	for who, want := range map[string]codes.Code{Builder: codes.OK, "person/partner": codes.PermissionDenied} {
+		file, err := hosted.certificate(who)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ring, err := identity.Load(identity.Files{Own: file, Roots: hosted.Roots})
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := buildtool.Dial(c.GateAddrs(), credentials.NewTLS(ring.Client(gatesOnly)), "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = Build(ctx, buildtool.New(conn, "refunds"), "by certificate", 3, 0, func(string) {})
+		_ = conn.Close()
+		if err == nil && want != codes.OK || err != nil && status.Code(errors.Unwrap(err)) != want {
+			t.Errorf("%s by certificate: %v, want %s", who, err, want)
+		}
+	}
 	// Who has no right to builds is refused for good, at once.
 	conn, err := c.BuildConn("person/partner")
 	if err != nil {
--- a/internal/rights/rights.go
+++ b/internal/rights/rights.go
@@ -28,13 +28,16 @@
 	Withdraw
 	Reassign
 	Administer
+	// Vouch lets a service say for whom it asks, where it has seen that somebody's
+	// certificate itself. It gives no right that this one does not hold.
+	Vouch
 )
 
 // Verbs are the names that rules use.
 var verbs = []struct {
 	name string
 	verb Verb
-}{{"submit", Submit}, {"view", View}, {"view-arguments", ViewArguments}, {"withdraw", Withdraw}, {"reassign", Reassign}, {"administer", Administer}}
+}{{"submit", Submit}, {"view", View}, {"view-arguments", ViewArguments}, {"withdraw", Withdraw}, {"reassign", Reassign}, {"administer", Administer}, {"vouch", Vouch}}
 
 func (v Verb) String() string {
 	var names []string
@@ -53,7 +56,7 @@
 			return e.verb, nil
 		}
 	}
-	return 0, fmt.Errorf("%q is no verb: submit, view, view-arguments, withdraw, reassign or administer", clip(name))
+	return 0, fmt.Errorf("%q is no verb: submit, view, view-arguments, withdraw, reassign, administer or vouch", clip(name))
 }
 
 // Queue is a team and a class of jobs.
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -41,6 +41,8 @@
 	Close  bool
 	// Authorization is the header of that name. It holds a secret.
 	Authorization string
+	// OnBehalfOf names for whom a service asks.
+	OnBehalfOf string
 	// Peer is the client's certificate, if it has proven to own one, and From
 	// its address.
 	Peer *x509.Certificate
@@ -62,6 +64,7 @@
 	close   bool
 	retry   int
 	auth    string
+	behalf  string
 }
 
 // ParseRequest reads one request from the front of buf and reports how many
@@ -97,7 +100,7 @@
 	if len(buf)-n < hd.length {
 		return nil, 0, ErrIncomplete
 	}
-	req := &Request{Method: method, Close: hd.close || old, Authorization: hd.auth}
+	req := &Request{Method: method, Close: hd.close || old, Authorization: hd.auth, OnBehalfOf: hd.behalf}
 	req.Path, req.Query, _ = strings.Cut(target, "?")
 	req.Body = bytes.Clone(buf[n : n+hd.length])
 	return req, n + hd.length, nil
@@ -191,6 +194,11 @@
 				return "", hd, 0, malformed("two credentials")
 			}
 			hd.auth = value
+		case "on-behalf-of":
+			if hd.behalf != "" {
+				return "", hd, 0, malformed("on behalf of two")
+			}
+			hd.behalf = value
 		case "retry-after":
 			hd.retry, _ = strconv.Atoi(value)
 		}
