spindlectl cache and action: what gates hold, and what an action waits for

Need: operators and users could see nothing of a gate but its log. Change: a service of the gate's own beside the Remote Execution API: what it holds by team (of those that the caller may view), promised, pinned, quotas, who waits, and its sums and repair to those who may view all; how an action stands by operation or digest, with its job, task, result and times. spindlectl shows both as tables or JSON. The files that prove who one is are read in one place for spindlectl and spindlelab. Tests: numbers of other teams stay hidden, each state of an action by both names. Measured: nothing; the sums walk all blobs of the store once a call.

--- a/cmd/spindlectl/connection.go
+++ b/cmd/spindlectl/connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"crypto/x509"
 	"errors"
 	"fmt"
@@ -30,43 +29,19 @@
 	if len(addrs) == 0 {
 		return nil, usageError{errors.New("no controllers: give --controllers or set SPINDLE_CONTROLLERS")}
 	}
-	var secure *tls.Config
-	if c.Roots != "" {
-		roots, err := readRoots(c.Roots)
-		if err != nil {
-			return nil, err
-		}
-		var own []tls.Certificate
-		if c.Cert != "" {
-			data, err := os.ReadFile(c.Cert)
-			if err != nil {
-				return nil, usageError{err}
-			}
-			pair, err := tls.X509KeyPair(data, data)
-			if err != nil {
-				return nil, usageError{fmt.Errorf("%s does not hold a certificate with its private key", c.Cert)}
-			}
-			own = append(own, pair)
-		}
-		secure = identity.ClientConfig(roots, own, func(n identity.Name) bool { return n.Kind == identity.Controller })
-	} else if c.Cert != "" || c.TokenFile != "" {
-		return nil, usageError{errors.New("--cert and --token-file need --roots: a credential is never sent in the clear")}
-	}
-	token := ""
-	if c.TokenFile != "" {
-		data, err := os.ReadFile(c.TokenFile)
-		if err != nil {
-			return nil, usageError{err}
-		}
-		if token = strings.TrimSpace(string(data)); token == "" || strings.ContainsAny(token, " \r\n") {
-			return nil, usageError{fmt.Errorf("%s does not hold one token", c.TokenFile)}
-		}
+	secure, token, err := c.proof().Load(func(n identity.Name) bool { return n.Kind == identity.Controller })
+	if err != nil {
+		return nil, usageError{err}
 	}
 	cl := client.New(addrs, secure, token)
 	cl.Patience = c.Patience
 	return cl, nil
 }
 
+func (c *Connection) proof() *identity.Proof {
+	return &identity.Proof{Roots: c.Roots, Cert: c.Cert, TokenFile: c.TokenFile}
+}
+
 func readRoots(path string) (*x509.CertPool, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
--- a/cmd/spindlectl/main.go
+++ b/cmd/spindlectl/main.go
@@ -26,6 +26,8 @@
 	Reassign    reassignCmd    `cmd:"" help:"Move a job that has not started to another queue."`
 	WithdrawAll withdrawAllCmd `cmd:"" help:"Withdraw everything that somebody has submitted."`
 	Whoami      whoamiCmd      `cmd:"" help:"Show who the cluster takes you for."`
+	Cache       cacheCmd       `cmd:"" help:"Show what gates for build tools hold."`
+	Action      actionCmd      `cmd:"" help:"Show how a build action stands."`
 	Policy      policyCmd      `cmd:"" help:"Work with the policy: who may do what."`
 	Audit       auditCmd       `cmd:"" help:"Read, export and verify the audit."`
 	PKI         pkiCmd         `cmd:"" name:"pki" help:"A small certificate authority in a folder."`
--- a/cmd/spindlectl/main_test.go
+++ b/cmd/spindlectl/main_test.go
@@ -63,7 +63,7 @@
 	}
 	run(0, "good until", "token", "person/anna", "--cluster", "c", "--out", in("anna.token"))
 	run(0, "", "pki", "rotate-token-key")
-	run(0, "is good: 4 roles, 4 identities", "policy", "check", filepath.Join("..", "..", "deploy", "policy.example.yaml"))
+	run(0, "is good: 5 roles, 5 identities", "policy", "check", filepath.Join("..", "..", "deploy", "policy.example.yaml"))
 	run(2, "roles.0.rules.0.allow.0", "policy", "check", write("bad.yaml", "roles: [{name: a, rules: [{allow: [x], team: a, class: b}]}]\nidentities: []\n"))
 	run(0, "draft/2020-12", "policy", "schema")
 
--- a/cmd/spindlelab/build.go
+++ b/cmd/spindlelab/build.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -14,7 +12,6 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"google.golang.org/grpc/credentials"
 
 	"micaspindle/internal/buildtool"
 	"micaspindle/internal/client"
@@ -61,9 +58,10 @@
 	if b.Sources < 1 || b.Sources > 20_000 || b.Seconds < 0 || b.Seconds > 3600 || b.Limit <= 0 {
 		return usageError{errors.New("--sources must lie between 1 and 20000, --seconds between 0 and 3600, --limit above 0")}
 	}
-	secure, token, err := b.proof()
+	proof := identity.Proof{Roots: b.Roots, Cert: b.Cert, TokenFile: b.TokenFile}
+	secure, token, err := proof.Load(func(n identity.Name) bool { return n.Kind == identity.Service })
 	if err != nil {
-		return err
+		return usageError{err}
 	}
 	conn, err := buildtool.Dial(client.SplitAddresses(b.Gates), secure, token)
 	if err != nil {
@@ -80,40 +78,6 @@
 	return printBuilds(b.Output, []lab.NamedReport{{Name: b.Name, Report: report}})
 }
 
-// proof reads the files that say who one is.
-func (b *buildCmd) proof() (credentials.TransportCredentials, string, error) {
-	if b.Roots == "" {
-		if b.Cert != "" || b.TokenFile != "" {
-			return nil, "", usageError{errors.New("--cert and --token-file need --roots: a credential is never sent in the clear")}
-		}
-		return nil, "", nil
-	}
-	data, err := os.ReadFile(b.Roots)
-	if err != nil {
-		return nil, "", usageError{err}
-	}
-	roots := x509.NewCertPool()
-	if !roots.AppendCertsFromPEM(data) {
-		return nil, "", usageError{fmt.Errorf("%s holds no certificates", b.Roots)}
-	}
-	var own []tls.Certificate
-	if b.Cert != "" {
-		pair, err := tls.LoadX509KeyPair(b.Cert, b.Cert)
-		if err != nil {
-			return nil, "", usageError{fmt.Errorf("%s does not hold a certificate with its private key", b.Cert)}
-		}
-		own = append(own, pair)
-	}
-	token := ""
-	if b.TokenFile != "" {
-		if data, err = os.ReadFile(b.TokenFile); err != nil {
-			return nil, "", usageError{err}
-		}
-		token = strings.TrimSpace(string(data))
-	}
-	return credentials.NewTLS(identity.ClientConfig(roots, own, func(n identity.Name) bool { return n.Kind == identity.Service })), token, nil
-}
-
 type demoBuildCmd struct {
 	clusterFlags
 	Gates      int     `default:"2" help:"How many gates (2 to 5)."`
@@ -180,6 +144,9 @@
 	for _, r := range reports {
 		fmt.Printf("\nWaits of %s, from asking to having the result:\n", r.Name)
 		bars(os.Stdout, r.Report.Waits)
+		if r.Report.SlowestName != "" {
+			fmt.Printf("The slowest was %s: spindlectl action %s\n", r.Report.Slowest, r.Report.SlowestName)
+		}
 	}
 	return nil
 }
--- a/internal/buildtool/buildtool.go
+++ b/internal/buildtool/buildtool.go
@@ -65,6 +65,11 @@
 	// Retries counts calls that were made again.
 	Retries int           `json:"retries"`
 	Took    time.Duration `json:"took_ns"`
+	// Slowest is the action that was waited for longest, SlowestName its operation's
+	// name; "" if it came from the cache.
+	Slowest     string `json:"slowest,omitempty"`
+	SlowestName string `json:"slowest_operation,omitempty"`
+	slowest     time.Duration
 	// Waits are from asking for an action to having its result, in milliseconds.
 	Waits *hdrhistogram.Histogram `json:"-"`
 	// Outputs are the output's digests by node.
@@ -230,12 +235,13 @@
 	}
 	begun := time.Now()
 	var resp *repb.ExecuteResponse
+	operation := ""
 	// Blobs may go between upload and run, with a gate; then they are uploaded again.
 	for range 20 {
 		if err = r.upload(ctx, blobs); err != nil {
 			return err
 		}
-		resp, err = r.execute(ctx, digest)
+		resp, operation, err = r.execute(ctx, digest)
 		if status.Code(err) != codes.FailedPrecondition || !missing(err) {
 			break
 		}
@@ -262,6 +268,9 @@
 			r.report.Cached++
 		}
 		_ = r.report.Waits.RecordValue(max(1, min(time.Since(begun).Milliseconds(), r.report.Waits.HighestTrackableValue())))
+		if took := time.Since(begun); took > r.report.slowest {
+			r.report.slowest, r.report.Slowest, r.report.SlowestName = took, n.Name, operation
+		}
 		if r.tell != nil {
 			r.tell(Progress{r.report.Actions, r.report.Cached, r.of})
 		}
@@ -396,7 +405,7 @@
 
 // execute runs an action until there is a result. A broken call is gone on with
 // by its operation's name, at any gate.
-func (r *run) execute(ctx context.Context, digest *repb.Digest) (*repb.ExecuteResponse, error) {
+func (r *run) execute(ctx context.Context, digest *repb.Digest) (*repb.ExecuteResponse, string, error) {
 	var resp *repb.ExecuteResponse
 	name := ""
 	err := r.persist(ctx, func() error {
@@ -444,7 +453,7 @@
 		}
 		return err
 	})
-	return resp, err
+	return resp, name, err
 }
 
 // Read reads a blob.
--- a/internal/buildtool/dial.go
+++ b/internal/buildtool/dial.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"time"
 
@@ -19,15 +20,15 @@
 // Dial connects to gates, one call at one, the next at another; calls go to those
 // that can be reached. Without a TLS configuration it speaks in the clear, and a
 // token is refused.
-func Dial(gates []string, secure credentials.TransportCredentials, token string) (*grpc.ClientConn, error) {
+func Dial(gates []string, secure *tls.Config, token string) (*grpc.ClientConn, error) {
 	if len(gates) == 0 {
 		return nil, errors.New("no gates")
 	}
-	if secure == nil {
-		if token != "" {
-			return nil, errors.New("a token is never sent in the clear")
-		}
-		secure = insecure.NewCredentials()
+	transport := insecure.NewCredentials()
+	if secure != nil {
+		transport = credentials.NewTLS(secure)
+	} else if token != "" {
+		return nil, errors.New("a token is never sent in the clear")
 	}
 	r := manual.NewBuilderWithScheme("gates")
 	var state resolver.State
@@ -35,7 +36,7 @@
 		state.Endpoints = append(state.Endpoints, resolver.Endpoint{Addresses: []resolver.Address{{Addr: g}}})
 	}
 	r.InitialState(state)
-	opts := []grpc.DialOption{grpc.WithResolvers(r), grpc.WithTransportCredentials(secure),
+	opts := []grpc.DialOption{grpc.WithResolvers(r), grpc.WithTransportCredentials(transport),
 		grpc.WithDefaultServiceConfig(`{"loadBalancingConfig":[{"round_robin":{}}]}`),
 		grpc.WithDefaultCallOptions(grpc.WaitForReady(true)),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: time.Second}),
--- a/internal/content/content.go
+++ b/internal/content/content.go
@@ -674,9 +674,9 @@
 
 // Stats says how the store stands.
 type Stats struct {
-	Blobs                   int
-	Bytes, Evicted, Corrupt int64
-	Spaces                  map[string]SpaceStats
+	Blobs                             int
+	Bytes, MaxBytes, Evicted, Corrupt int64
+	Spaces                            map[string]SpaceStats
 }
 
 // SpaceStats says how a space stands: what it holds, what of it nobody may take
@@ -690,7 +690,7 @@
 func (s *Store) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Stats{len(s.entries), s.used, s.evicted, s.corrupt, map[string]SpaceStats{}}
+	out := Stats{len(s.entries), s.used, s.opt.MaxBytes, s.evicted, s.corrupt, map[string]SpaceStats{}}
 	for space, quota := range s.opt.Quotas {
 		out.Spaces[space] = SpaceStats{Quota: quota}
 	}
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -559,6 +559,22 @@
 	return strings.Join([]string{"operations", t.job, fmt.Sprint(t.index), t.entry.Execution, t.entry.Action().String(), t.instance}, "/")
 }
 
+// parseOperation reads an operation's name.
+func parseOperation(name string) (*task, error) {
+	bad := status.Errorf(codes.NotFound, "%q is no operation", clip(name))
+	parts := strings.SplitN(name, "/", 7)
+	if len(parts) != 7 || parts[0] != "operations" || !protocol.ValidID(parts[1]) {
+		return nil, bad
+	}
+	t := &task{instance: parts[6], job: parts[1], done: make(chan struct{})}
+	t.entry = ManifestEntry{Execution: parts[3], Hash: parts[4]}
+	if _, err := fmt.Sscan(parts[2]+" "+parts[5], &t.index, &t.entry.Size); err != nil || t.entry.Action().Check() != nil ||
+		(content.Digest{Hash: t.entry.Execution}).Check() != nil || t.operation() != name {
+		return nil, bad
+	}
+	return t, nil
+}
+
 // operationSender is what both calls send to.
 type operationSender interface {
 	Send(*longrunningpb.Operation) error
@@ -652,17 +668,10 @@
 	if g.jobs == nil {
 		return status.Error(codes.Unimplemented, "this gate runs nothing")
 	}
-	parts := strings.SplitN(req.GetName(), "/", 7)
-	if len(parts) != 7 || parts[0] != "operations" || !protocol.ValidID(parts[1]) {
-		return status.Errorf(codes.NotFound, "%q is no operation", clip(req.GetName()))
-	}
-	t := &task{instance: parts[6], job: parts[1], done: make(chan struct{})}
-	t.entry = ManifestEntry{Execution: parts[3], Hash: parts[4]}
-	if _, err := fmt.Sscan(parts[2]+" "+parts[5], &t.index, &t.entry.Size); err != nil || t.entry.Action().Check() != nil ||
-		(content.Digest{Hash: t.entry.Execution}).Check() != nil || t.operation() != req.GetName() {
-		return status.Errorf(codes.NotFound, "%q is no operation", clip(req.GetName()))
+	t, err := parseOperation(req.GetName())
+	if err != nil {
+		return err
 	}
-	var err error
 	if t.space, err = g.space(ctx, t.instance, verbWrite); err != nil {
 		return err
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,6 +32,8 @@
 
 	"micaspindle/internal/admission"
 	"micaspindle/internal/content"
+	"micaspindle/internal/gate/inspection"
+	"micaspindle/internal/repair"
 )
 
 // Limits of messages. A batch and the message around it must fit gRPC's own
@@ -101,6 +103,8 @@
 	// recording lets one result of an execution be recorded at a time.
 	recording sync.Mutex
 	discarded atomic.Int64
+	// repairer is what keeps the blobs whole, once there is one.
+	repairer atomic.Pointer[repair.Repairer]
 }
 
 // New makes a gate; peers are the other gates, nil: there are none. jobs are what
@@ -125,6 +129,7 @@
 	repb.RegisterActionCacheServer(s, g)
 	repb.RegisterExecutionServer(s, g)
 	bytestream.RegisterByteStreamServer(s, g)
+	inspection.RegisterInspectionServer(s, inspector{g: g})
 	checks := health.NewServer()
 	checks.SetServingStatus("", healthpb.HealthCheckResponse_SERVING)
 	healthpb.RegisterHealthServer(s, checks)
--- /dev/null
+++ b/internal/gate/inspect_test.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
+	"google.golang.org/grpc/codes"
+
+	"micaspindle/internal/content"
+	"micaspindle/internal/gate/inspection"
+	"micaspindle/internal/protocol"
+)
+
+// Nobody sees of a gate what he may not view: not another team's numbers, nor the
+// sums that would tell them.
+func TestInspectionShowsOwnTeamsOnly(t *testing.T) {
+	rights := rightsOf{"anna view red": true, "anna view-arguments red": true, "anna submit red": true, "root view red": true, "root view blue": true}
+	b, _ := start(t, oneTeam, rights, roomy)
+	anna := b.as("anna")
+	data := random(5000)
+	if _, err := anna.upload("uploads/1/blobs/"+content.Of(data).String(), data, 0, chunk, true); err != nil {
+		t.Fatal(err)
+	}
+	see := func(c *build) (*inspection.StoreReply, error) {
+		return inspection.NewInspectionClient(b.conn).GetStore(c.ctx, &inspection.StoreRequest{})
+	}
+	got, err := see(anna)
+	if err != nil || len(got.Teams) != 1 || got.Teams[0].Name != "red" || got.Teams[0].Bytes != 5000 || got.Teams[0].Promised != 5000 || got.Totals != nil {
+		t.Errorf("%v %v", got, err)
+	}
+	got, err = see(b.as("root"))
+	if err != nil || len(got.Teams) != 2 || got.Totals.GetBytes() != 5000 || got.Totals.GetMaxBytes() != roomy.MaxBytes {
+		t.Errorf("%v %v", got, err)
+	}
+	_, err = see(b.as("ben"))
+	b.code(err, codes.PermissionDenied)
+	_, err = see(b)
+	b.code(err, codes.Unauthenticated)
+}
+
+// An action is told through all its states, by name and by digest.
+func TestInspectionOfActions(t *testing.T) {
+	b, g, jobs := startExecuting(t, oneTeam)
+	b = b.as("Bearer anna")
+	action := b.action("true")
+	see := func(req *inspection.ActionRequest) *inspection.ActionReply {
+		t.Helper()
+		r, err := inspection.NewInspectionClient(b.conn).GetAction(b.ctx, req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	byDigest := &inspection.ActionRequest{Hash: action.Hash, SizeBytes: action.SizeBytes}
+	if r := see(byDigest); r.State != "unknown" {
+		t.Errorf("before: %v", r)
+	}
+	s, err := repb.NewExecutionClient(b.conn).Execute(b.ctx, &repb.ExecuteRequest{ActionDigest: action})
+	if err != nil {
+		t.Fatal(err)
+	}
+	op, err := s.Recv()
+	if err != nil {
+		t.Fatal(err)
+	}
+	job := *(<-jobs.submitted).ID
+	for state, want := range map[string]string{protocol.StatusQueued: "queued", protocol.StatusRunning: "running", protocol.StatusWithdrawn: "withdrawn", protocol.StatusDone: "unknown"} {
+		jobs.mu.Lock()
+		jobs.states[job] = state
+		jobs.mu.Unlock()
+		for _, req := range []*inspection.ActionRequest{byDigest, {Name: op.GetName()}} {
+			if r := see(req); r.State != want || r.Job != job || r.Task != 0 || r.Operation != op.GetName() || r.JobState != state || r.WaitsFor == "" {
+				t.Errorf("job %s: %v, want %s", state, r, want)
+			}
+		}
+	}
+	g.result(t, action)
+	if r := see(byDigest); r.State != "done" || !r.Cached || r.Result.GetWorker() != "m-1" || r.WaitsFor != "" {
+		t.Errorf("after: %v", r)
+	}
+	for _, req := range []*inspection.ActionRequest{{Name: "operations/x"}, {Hash: "zz", SizeBytes: 1}} {
+		ctx, cancel := context.WithTimeout(b.ctx, 5*time.Second)
+		_, err := inspection.NewInspectionClient(b.conn).GetAction(ctx, req)
+		cancel()
+		if err == nil {
+			t.Errorf("%v is answered", req)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gate/inspection/doc.go
@@ -0,0 +1,5 @@
+// Package inspection holds the messages of a gate's own service beside the Remote
+// Execution API. Made with
+//
+//	protoc --go_out=. --go_opt=module=micaspindle --go-grpc_out=. --go-grpc_opt=module=micaspindle internal/gate/inspection/inspection.proto
+package inspection
--- a/internal/gate/repair.go
+++ b/internal/gate/repair.go
@@ -46,6 +46,7 @@
 	r.Records = func(ctx context.Context, take func(context.Context, int64) error) (int, error) {
 		return g.repairRecords(ctx, settings.Copies, instances, take)
 	}
+	g.repairer.Store(r)
 	return r, nil
 }
 
--- a/internal/identity/keyring.go
+++ b/internal/identity/keyring.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"log/slog"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -262,6 +263,53 @@
 	return c
 }
 
+// Proof is the files of a program that says once who it is, as people start them. A
+// token is read from a file only: a command line is seen by others.
+type Proof struct {
+	// Roots are the authorities to trust; without them connections are in the clear.
+	Roots string
+	// Cert is a certificate with its key, TokenFile a token.
+	Cert, TokenFile string
+}
+
+// Load reads the files; the configuration is nil for connections in the clear.
+func (p *Proof) Load(accept func(Name) bool) (secure *tls.Config, token string, err error) {
+	if p.Roots == "" {
+		if p.Cert != "" || p.TokenFile != "" {
+			return nil, "", errors.New("a certificate or a token needs the roots to trust: a credential is never sent in the clear")
+		}
+		return nil, "", nil
+	}
+	data, err := os.ReadFile(p.Roots)
+	if err != nil {
+		return nil, "", err
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(data) {
+		return nil, "", fmt.Errorf("%s holds no certificates", p.Roots)
+	}
+	var own []tls.Certificate
+	if p.Cert != "" {
+		if data, err = os.ReadFile(p.Cert); err != nil {
+			return nil, "", err
+		}
+		pair, err := tls.X509KeyPair(data, data)
+		if err != nil {
+			return nil, "", fmt.Errorf("%s does not hold a certificate with its private key", p.Cert)
+		}
+		own = append(own, pair)
+	}
+	if p.TokenFile != "" {
+		if data, err = os.ReadFile(p.TokenFile); err != nil {
+			return nil, "", err
+		}
+		if token = strings.TrimSpace(string(data)); token == "" || strings.ContainsAny(token, " \r\n") {
+			return nil, "", fmt.Errorf("%s does not hold one token", p.TokenFile)
+		}
+	}
+	return ClientConfig(roots, own, accept), token, nil
+}
+
 // ClientConfig is Client for programs that have read their files themselves.
 func ClientConfig(roots *x509.CertPool, own []tls.Certificate, accept func(Name) bool) *tls.Config {
 	c := clientConfig(func() *x509.CertPool { return roots }, accept, time.Now)
--- a/internal/lab/gates.go
+++ b/internal/lab/gates.go
@@ -13,7 +13,6 @@
 
 	"go.yaml.in/yaml/v3"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/credentials"
 	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 
 	"micaspindle/internal/buildtool"
@@ -111,13 +110,11 @@
 // dialGates connects to the gates: machines with their certificate, others with a
 // token.
 func (c *Cluster) dialGates(machine bool, token string) (*grpc.ClientConn, error) {
-	var secure credentials.TransportCredentials
+	var secure *tls.Config
 	if h := c.opt.Hosted; h != nil {
-		var config *tls.Config
-		if config = h.worker.Client(gatesOnly); !machine {
-			config.GetClientCertificate = nil
+		if secure = h.worker.Client(gatesOnly); !machine {
+			secure.GetClientCertificate = nil
 		}
-		secure = credentials.NewTLS(config)
 	}
 	return buildtool.Dial(c.GateAddrs(), secure, token)
 }
@@ -181,9 +178,9 @@
 }
 
 func (c *Cluster) awaitGate(ctx context.Context, g *Gate) error {
-	var secure credentials.TransportCredentials
+	var secure *tls.Config
 	if h := c.opt.Hosted; h != nil {
-		secure = credentials.NewTLS(h.worker.Client(gatesOnly))
+		secure = h.worker.Client(gatesOnly)
 	}
 	conn, err := buildtool.Dial([]string{g.Addr}, secure, "")
 	if err != nil {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/status"
 
 	"micaspindle/internal/buildtool"
@@ -111,7 +110,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		conn, err := buildtool.Dial(c.GateAddrs(), credentials.NewTLS(ring.Client(gatesOnly)), "")
+		conn, err := buildtool.Dial(c.GateAddrs(), ring.Client(gatesOnly), "")
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -259,6 +259,7 @@
 		result.ExitCode = 127
 		fmt.Fprintln(&stderr, err)
 	}
+	meta.OutputUploadStartTimestamp = timestamppb.Now()
 	for to, data := range map[**repb.Digest][]byte{&result.StdoutDigest: stdout.Bytes(), &result.StderrDigest: stderr.Bytes()} {
 		if len(data) == 0 {
 			continue
@@ -272,6 +273,7 @@
 			return nil, err
 		}
 	}
+	meta.OutputUploadCompletedTimestamp = timestamppb.Now()
 	return result, nil
 }
 
