Who waits for a build job is known to other gates, by leases

Need: a gate that ended forgot who waited, so such a job ran to its end; and a gate withdrew jobs that clients of another gate waited for, which were then told ABORTED. Change: each gate tells copies - 1 others for which jobs somebody waits, renewed while they do; whoever was there, or was told, withdraws a job that nobody waits for once its linger is over, after asking the others; for whom it was, if the client's credential has ended. Tests: the last client goes at another gate; a gate dies under a client that comes back, and under one that does not.

--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -51,79 +51,11 @@
 	lots    map[lotKey]*lot
 	running map[string]*task // by space and execution: identical ones run once
 	wanted  map[string]*interest
+	leases  map[string]lease // of jobs that are wanted at other gates
 	// jobs and actions count what was submitted.
 	jobs, actions atomic.Int64
 }
 
-// interest is who waits for a job's actions here.
-type interest struct {
-	followers  int
-	credential string
-	who        string    // by name, if it is known
-	left       time.Time // when the last one went
-}
-
-// DefaultLinger is how long a job goes on that no client of this gate waits for.
-const DefaultLinger = time.Minute
-
-// join notes that a client waits for a job.
-func (g *Gate) join(job, cred, who string) {
-	g.gather.mu.Lock()
-	defer g.gather.mu.Unlock()
-	w := g.gather.wanted[job]
-	if w == nil {
-		w = new(interest)
-		g.gather.wanted[job] = w
-	}
-	w.followers++
-	w.credential, w.who = cred, who
-}
-
-// leave notes that a client waits no longer.
-func (g *Gate) leave(job string) {
-	g.gather.mu.Lock()
-	defer g.gather.mu.Unlock()
-	if w := g.gather.wanted[job]; w != nil {
-		if w.followers--; w.followers == 0 {
-			w.left = time.Now()
-		}
-	}
-}
-
-// withdrawUnwanted withdraws jobs that nobody has waited for in a while; those
-// that have ended by then are only forgotten.
-func (g *Gate) withdrawUnwanted(ctx context.Context, linger time.Duration) {
-	type gone struct{ job, credential, who string }
-	var list []gone
-	g.gather.mu.Lock()
-	for job, w := range g.gather.wanted {
-		if w.followers == 0 && time.Since(w.left) > linger {
-			list = append(list, gone{job, w.credential, w.who})
-			delete(g.gather.wanted, job)
-		}
-	}
-	g.gather.mu.Unlock()
-	for _, u := range list {
-		// A job that is done stays done.
-		err := g.persist(u.credential, u.who, func(cred string) error { return g.jobs.Withdraw(ctx, cred, u.job) })
-		if err != nil {
-			g.log.Info("unwanted job not withdrawn", "job", u.job, "reason", err)
-		}
-	}
-	if len(list) == 0 {
-		return
-	}
-	g.gather.mu.Lock()
-	defer g.gather.mu.Unlock()
-	for key, t := range g.gather.running {
-		for _, u := range list {
-			if t.job == u.job {
-				delete(g.gather.running, key)
-			}
-		}
-	}
-}
-
 // persist does something with a client's credential, or, if that has ended since,
 // as this gate for whom it was: what was accepted goes on, and what nobody wants
 // ends, by this gate's own rights.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -111,7 +111,7 @@
 // actions become, nil: nothing is run.
 func New(config Config, store *content.Store, results *content.Results, access Access, peers *Peers, jobs Jobs, log *slog.Logger) *Gate {
 	return &Gate{config: config, store: store, results: results, access: access, peers: peers, jobs: jobs, log: log, uploads: uploads{open: map[string]*partial{}},
-		gather: gatherer{lots: map[lotKey]*lot{}, running: map[string]*task{}, wanted: map[string]*interest{}}}
+		gather: gatherer{lots: map[lotKey]*lot{}, running: map[string]*task{}, wanted: map[string]*interest{}, leases: map[string]lease{}}}
 }
 
 func randomName() string { return rand.Text() }
@@ -130,6 +130,7 @@
 	repb.RegisterExecutionServer(s, g)
 	bytestream.RegisterByteStreamServer(s, g)
 	inspection.RegisterInspectionServer(s, inspector{g: g})
+	inspection.RegisterNeighboursServer(s, neighbours{g: g})
 	checks := health.NewServer()
 	checks.SetServingStatus("", healthpb.HealthCheckResponse_SERVING)
 	healthpb.RegisterHealthServer(s, checks)
@@ -362,6 +363,7 @@
 		select {
 		case <-tick.C:
 			if g.jobs != nil {
+				g.tellInterest(ctx, linger)
 				g.withdrawUnwanted(ctx, linger)
 			}
 			g.uploads.mu.Lock()
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -19,6 +19,7 @@
 	"google.golang.org/grpc/status"
 
 	"micaspindle/internal/content"
+	"micaspindle/internal/gate/inspection"
 )
 
 // peerMark is in the metadata of calls between gates. Such a call is answered
@@ -54,6 +55,7 @@
 	cas   repb.ContentAddressableStorageClient
 	ac    repb.ActionCacheClient
 	bytes bytestream.ByteStreamClient
+	mates inspection.NeighboursClient
 	// rests until, in milliseconds since 1970.
 	rests atomic.Int64
 }
@@ -62,7 +64,7 @@
 func NewPeers(copies int, conns map[string]*grpc.ClientConn, log *slog.Logger) *Peers {
 	p := &Peers{Copies: copies, log: log}
 	for addr, c := range conns {
-		p.gates = append(p.gates, &peerGate{addr: addr, cas: repb.NewContentAddressableStorageClient(c), ac: repb.NewActionCacheClient(c), bytes: bytestream.NewByteStreamClient(c)})
+		p.gates = append(p.gates, &peerGate{addr: addr, cas: repb.NewContentAddressableStorageClient(c), ac: repb.NewActionCacheClient(c), bytes: bytestream.NewByteStreamClient(c), mates: inspection.NewNeighboursClient(c)})
 	}
 	return p
 }
--- a/internal/gate/peers_test.go
+++ b/internal/gate/peers_test.go
@@ -35,6 +35,12 @@
 }
 
 func startSeveral(t *testing.T, n, copies int) *several {
+	t.Helper()
+	return startSeveralWith(t, n, copies, nil)
+}
+
+// startSeveralWith starts gates whose actions become the given jobs.
+func startSeveralWith(t *testing.T, n, copies int, jobs Jobs) *several {
 	t.Helper()
 	var s several
 	var listeners []net.Listener
@@ -72,9 +78,10 @@
 		}
 		config := oneTeam
 		config.MaxBlob = roomy.MaxBlob
+		config.Class = "build"
 		config.IsPeer = func(context.Context) bool { return true }
 		peers := NewPeers(copies, others, slog.New(slog.DiscardHandler))
-		g := New(config, store, results, Open{}, peers, nil, slog.New(slog.DiscardHandler))
+		g := New(config, store, results, everyone{}, peers, jobs, slog.New(slog.DiscardHandler))
 		s.gates, s.dirs = append(s.gates, g), append(s.dirs, dir)
 		server := g.Server()
 		go func() { _ = server.Serve(listeners[i]) }()
