--- a/cmd/spindlegate/main.go
+++ b/cmd/spindlegate/main.go
@@ -64,6 +64,10 @@
 	// in its certificate.
 	Peers  map[string]string `yaml:"peers"`
 	Copies int               `yaml:"copies"`
+	Gather struct {
+		For  time.Duration `yaml:"for"`
+		Most int           `yaml:"most"`
+	} `yaml:"gather"`
 	// Shares are what teams share by weight.
 	Shares shares `yaml:"shares"`
 	// Repair bounds what reading at rest and copying anew take.
@@ -90,6 +94,7 @@
 		return nil, err
 	}
 	s := &settings{Class: "build", Copies: 1, Shares: defaultShares()}
+	s.Gather.For, s.Gather.Most = 50*time.Millisecond, 256
 	s.Repair.BytesPerSecond, s.Repair.Every, s.Repair.Grace = 20e6, 10*time.Minute, 2*time.Minute
 	s.Store.MaxGB, s.Store.MaxBlob, s.Store.Promise, s.Store.Results = 10, 1024, 10*time.Minute, 1_000_000
 	dec := yaml.NewDecoder(bytes.NewReader(data))
@@ -118,6 +123,8 @@
 		return nil, errors.New("class: missing")
 	case s.Copies < 1 || s.Copies > len(s.Peers)+1:
 		return nil, fmt.Errorf("copies: must lie between 1 and %d, the number of gates", len(s.Peers)+1)
+	case s.Gather.For < 0 || s.Gather.For > 10*time.Second || s.Gather.Most < 1 || s.Gather.Most > 10_000:
+		return nil, errors.New("gather: for must lie between 0 and 10s, most between 1 and 10000")
 	case s.Store.Dir == "":
 		return nil, errors.New("store.dir: missing")
 	case !(s.Store.MaxGB > 0) || !(s.Store.MaxBlob > 0) || s.Store.MaxBlob*1e6 > s.Store.MaxGB*1e9:
@@ -167,7 +174,8 @@
 	}
 	var access gate.Access = gate.Open{}
 	var opts []grpc.ServerOption
-	config := gate.Config{Instances: s.Instances, ClientResults: s.ClientResults, Class: s.Class, MaxBlob: int64(s.Store.MaxBlob * 1e6)}
+	config := gate.Config{Instances: s.Instances, ClientResults: s.ClientResults, Class: s.Class, MaxBlob: int64(s.Store.MaxBlob * 1e6),
+		GatherFor: s.Gather.For, GatherMost: s.Gather.Most}
 	if config.Shares, err = s.Shares.open(s.teams()); err != nil {
 		return usageError{err}
 	}
--- a/cmd/spindlegate/main_test.go
+++ b/cmd/spindlegate/main_test.go
@@ -59,6 +59,7 @@
 		"quota over all":  {good + "shares: {store_quota: 1.5}\n", "store_quota"},
 		"no rate":         {good + "shares: {bytes_per_second: .nan}\n", "bytes_per_second"},
 		"no pace":         {good + "repair: {bytes_per_second: 0}\n", "repair: bytes_per_second"},
+		"no gathering":    {good + "gather: {most: 0}\n", "gather"},
 		"too often":       {good + "repair: {every: 1ms}\n", "repair: every"},
 		"below 0":         {good + "shares: {queue: -1}\n", "queue"},
 	} {
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -35,10 +35,6 @@
 }
 
 const (
-	// gatherFor is how long an action waits for others, gatherMost how many
-	// make a job at the most.
-	gatherFor  = 50 * time.Millisecond
-	gatherMost = 256
 	// lookEvery is how often a wait looks for a result that another gate may
 	// have, and statusEvery whether the job still is.
 	lookEvery   = 250 * time.Millisecond
@@ -309,10 +305,10 @@
 	if l == nil {
 		l = new(lot)
 		g.gather.lots[lk] = l
-		l.timer = time.AfterFunc(gatherFor, func() { g.dispatch(lk, l, cred) })
+		l.timer = time.AfterFunc(g.config.GatherFor, func() { g.dispatch(lk, l, cred) })
 	}
 	l.tasks = append(l.tasks, t)
-	if len(l.tasks) == gatherMost && l.timer.Stop() {
+	if len(l.tasks) == g.config.GatherMost && l.timer.Stop() {
 		go g.dispatch(lk, l, cred)
 	}
 	return t, nil
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -69,6 +69,10 @@
 	MaxBlob       int64
 	// Class is the class of the jobs that actions become.
 	Class string
+	// GatherFor is how long an action waits for others to become a job with,
+	// GatherMost how many that are at the most.
+	GatherFor  time.Duration
+	GatherMost int
 	// Shares are what teams and clients share.
 	Shares Shares
 	// IsPeer says whether a call that calls itself one of another gate is that;
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -90,7 +90,7 @@
 }
 
 var (
-	oneTeam = Config{Instances: map[string]string{"": "red", "a/b": "blue"}, ClientResults: true}
+	oneTeam = Config{Instances: map[string]string{"": "red", "a/b": "blue"}, ClientResults: true, GatherFor: 50 * time.Millisecond, GatherMost: 256}
 	roomy   = content.Options{MaxBytes: 64 << 20, MaxBlob: 32 << 20, Promise: time.Minute}
 )
 
--- /dev/null
+++ b/internal/gate/plain_test.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/genproto/googleapis/bytestream"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"micaspindle/internal/content"
+)
+
+// plain is a gRPC stream of bytes from memory, with nothing else: the bound for
+// downloads over gRPC on this machine.
+type plain struct {
+	bytestream.UnimplementedByteStreamServer
+	data []byte
+}
+
+func (p *plain) Read(_ *bytestream.ReadRequest, out bytestream.ByteStream_ReadServer) error {
+	for at := 0; at < len(p.data); at += chunk {
+		if err := out.Send(&bytestream.ReadResponse{Data: p.data[at:min(len(p.data), at+chunk)]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Command: GATE_THROUGHPUT=1 go test -run TestDownloads -v -count 3 ./internal/gate
+//
+// Downloads of blobs against a plain gRPC stream of the same bytes, in one run.
+func TestDownloads(t *testing.T) {
+	if os.Getenv("GATE_THROUGHPUT") == "" {
+		t.Skip("a measurement; set GATE_THROUGHPUT=1")
+	}
+	b, _ := start(t, oneTeam, Open{}, content.Options{MaxBytes: 4 << 30, MaxBlob: 64 << 20})
+	const size, blobs = 32 << 20, 4
+	data := random(size)
+	var names []string
+	for i := range blobs {
+		data[0] = byte(i)
+		name := content.Of(data).String()
+		if _, err := b.upload("uploads/1/blobs/"+name, data, 0, chunk, true); err != nil {
+			t.Fatal(err)
+		}
+		names = append(names, "blobs/"+name)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	bytestream.RegisterByteStreamServer(server, &plain{data: data})
+	go func() { _ = server.Serve(l) }()
+	defer server.Stop()
+	conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close() //nolint:errcheck // the test ends
+	bound := &build{t: t, ctx: context.Background(), bytes: bytestream.NewByteStreamClient(conn)}
+	rate := func(c *build, streams int) float64 {
+		begun := time.Now()
+		var wg sync.WaitGroup
+		for w := range streams {
+			wg.Go(func() {
+				for i := range 16 / streams {
+					if err := c.downloadTo(io.Discard, names[(w+i)%blobs], 0, 0); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		return 16 / float64(streams) * float64(streams) * size / 1e6 / time.Since(begun).Seconds()
+	}
+	for _, streams := range []int{1, 4} {
+		rate(bound, streams)
+		rate(b, streams)
+		p, ours := rate(bound, streams), rate(b, streams)
+		t.Logf("%d at a time: %.0f MB/s, %.2f of a plain stream (%.0f)", streams, ours, ours/p, p)
+	}
+}
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -54,6 +54,15 @@
 	return raw
 }
 
+// ParseManifest reads a manifest.
+func ParseManifest(raw []byte) (*Manifest, error) {
+	m := new(Manifest)
+	if err := json.Unmarshal(raw, m); err != nil {
+		return nil, fmt.Errorf("not a manifest: %w", err)
+	}
+	return m, nil
+}
+
 // ParseImage reads a manifest's digest and its instance from a job's image.
 func ParseImage(image string) (manifest content.Digest, instance string, ok bool) {
 	rest, ok := strings.CutPrefix(image, ImagePrefix)
--- a/internal/lab/build_test.go
+++ b/internal/lab/build_test.go
@@ -98,7 +98,7 @@
 		b.t.Fatal(err)
 	}
 	believe := func(context.Context) bool { return true }
-	b.gate = gate.New(gate.Config{Instances: map[string]string{"": "venues", "refunds": "payments"}, Class: "build", MaxBlob: 1 << 26, IsWorker: believe},
+	b.gate = gate.New(gate.Config{Instances: map[string]string{"": "venues", "refunds": "payments"}, Class: "build", MaxBlob: 1 << 26, GatherFor: 50 * time.Millisecond, GatherMost: 256, IsWorker: believe},
 		b.store, results, gate.Open{}, nil, gate.Controllers{Client: client.New(b.c.Addrs(), nil, "")}, slog.New(slog.DiscardHandler))
 	b.server = b.gate.Server()
 	server := b.server
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -58,8 +57,8 @@
 	if err != nil {
 		return err
 	}
-	var m gate.Manifest
-	if err := json.Unmarshal(raw, &m); err != nil || index >= len(m.Tasks) {
+	m, err := gate.ParseManifest(raw)
+	if err != nil || index >= len(m.Tasks) {
 		return fmt.Errorf("runner: the manifest has no task %d", index)
 	}
 	e := m.Tasks[index]
