--- a/internal/gate/actions.go
+++ b/internal/gate/actions.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"micaspindle/internal/content"
 )
@@ -92,6 +94,25 @@
 		return nil, err
 	}
 	for _, d := range r.GetOutputDirectories() {
+		if root := d.GetRootDirectoryDigest(); root != nil {
+			if err := g.walk(ctx, instance, space, digestOf(root), func(at content.Digest, dir *repb.Directory) error {
+				out = append(out, at)
+				for _, f := range dir.GetFiles() {
+					if err := add(f.GetDigest()); err != nil {
+						return err
+					}
+				}
+				return nil
+			}); err != nil {
+				return nil, err
+			}
+		}
+		if d.GetTreeDigest() == nil {
+			if d.GetRootDirectoryDigest() == nil {
+				return nil, fmt.Errorf("%w: output directory %q has neither a tree nor a root", content.ErrInvalid, clip(d.GetPath()))
+			}
+			continue
+		}
 		if err := add(d.GetTreeDigest()); err != nil {
 			return nil, err
 		}
@@ -114,6 +135,41 @@
 	return out, nil
 }
 
+// walk reads the directories below a root, each once.
+func (g *Gate) walk(ctx context.Context, instance, space string, root content.Digest, see func(content.Digest, *repb.Directory) error) error {
+	queue := []content.Digest{root}
+	seen := map[content.Digest]bool{root: true}
+	for len(queue) > 0 {
+		at := queue[0]
+		queue = queue[1:]
+		raw, err := g.read(ctx, instance, content.Key{Space: space, Digest: at}, maxTreeNode)
+		if err != nil {
+			return err
+		}
+		dir := new(repb.Directory)
+		if err := proto.Unmarshal(raw, dir); err != nil {
+			return content.ErrNotFound
+		}
+		if err := see(at, dir); err != nil {
+			return err
+		}
+		for _, sub := range dir.GetDirectories() {
+			next := digestOf(sub.GetDigest())
+			if err := next.Check(); err != nil {
+				return err
+			}
+			if !seen[next] {
+				seen[next] = true
+				queue = append(queue, next)
+			}
+		}
+		if len(seen) > maxDigests {
+			return fmt.Errorf("%w: a tree of more than %d directories", content.ErrInvalid, maxDigests)
+		}
+	}
+	return nil
+}
+
 // UpdateActionResult keeps a result that a client has made itself. The first one
 // stays for as long as all that it names is here.
 func (g *Gate) UpdateActionResult(ctx context.Context, req *repb.UpdateActionResultRequest) (*repb.ActionResult, error) {
@@ -179,6 +235,9 @@
 	if err := proto.Unmarshal(raw, action); err != nil {
 		return nil, status.Error(codes.InvalidArgument, "that is no action")
 	}
+	if s := g.startedBefore(ctx, req.GetInstanceName(), space, execution); s != nil && s.Queued > 0 && req.GetActionResult().GetExecutionMetadata() != nil {
+		req.ActionResult.ExecutionMetadata.QueuedTimestamp = timestamppb.New(time.UnixMilli(s.Queued))
+	}
 	first, err := g.RecordResult(ctx, req.GetInstanceName(), space, e, req.GetActionResult(), !action.GetDoNotCache())
 	if err != nil {
 		return nil, failure(err)
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -20,6 +20,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
+	"google.golang.org/protobuf/types/known/timestamppb"
 	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"micaspindle/internal/client"
@@ -83,6 +84,7 @@
 	space    string
 	// caller is who takes a place among those who wait.
 	caller string
+	queued time.Time
 	// placed is closed once the task has its job, or can't have one.
 	placed chan struct{}
 	job    string
@@ -97,6 +99,8 @@
 type started struct {
 	Job   string `json:"job"`
 	Index int    `json:"index"`
+	// Queued is when the action came, in milliseconds since 1970.
+	Queued int64 `json:"queued,omitempty"`
 }
 
 // PreconditionFailure says which blobs are missing, as the API wants it told.
@@ -190,6 +194,11 @@
 		names[n] = true
 		return CheckName(n)
 	}
+	for _, p := range properties(d) {
+		if len(p.GetProperties()) > 0 {
+			return status.Errorf(codes.InvalidArgument, "node property %q is not served; mtime and unix_mode are", clip(p.GetProperties()[0].GetName()))
+		}
+	}
 	for _, f := range d.GetFiles() {
 		if err := errors.Join(name(f.GetName()), digestOf(f.GetDigest()).Check()); err != nil {
 			return status.Error(codes.InvalidArgument, err.Error())
@@ -211,6 +220,18 @@
 	return nil
 }
 
+// properties are those of a directory and of all that it names.
+func properties(d *repb.Directory) []*repb.NodeProperties {
+	out := []*repb.NodeProperties{d.GetNodeProperties()}
+	for _, f := range d.GetFiles() {
+		out = append(out, f.GetNodeProperties())
+	}
+	for _, l := range d.GetSymlinks() {
+		out = append(out, l.GetNodeProperties())
+	}
+	return out
+}
+
 // Execute runs an action, or tells its result if that is known.
 func (g *Gate) Execute(req *repb.ExecuteRequest, out repb.Execution_ExecuteServer) error {
 	ctx := out.Context()
@@ -298,7 +319,7 @@
 	if w := g.config.Shares.Waiting; w != nil && !w.Take(space, caller, 1) {
 		return nil, retryLater(codes.ResourceExhausted, time.Second, "too many actions wait to be submitted")
 	}
-	t = &task{entry: e, instance: instance, space: space, caller: caller, placed: make(chan struct{}), done: make(chan struct{})}
+	t = &task{entry: e, instance: instance, space: space, caller: caller, queued: time.Now(), placed: make(chan struct{}), done: make(chan struct{})}
 	g.gather.running[key] = t
 	lk := lotKey{who, instance, n}
 	l := g.gather.lots[lk]
@@ -321,7 +342,7 @@
 	if t := g.gather.running[key]; t != nil {
 		return t
 	}
-	t := &task{entry: e, instance: instance, space: space, placed: make(chan struct{}), done: make(chan struct{}), job: s.Job, index: s.Index}
+	t := &task{entry: e, instance: instance, space: space, placed: make(chan struct{}), done: make(chan struct{}), job: s.Job, index: s.Index, queued: time.UnixMilli(s.Queued)}
 	close(t.placed)
 	g.gather.running[key] = t
 	return t
@@ -350,7 +371,7 @@
 	if err == nil {
 		g.spread(ctx, lk.instance, k.Space, []content.Digest{k.Digest})
 		for i, t := range tasks {
-			if err = g.noteStarted(ctx, t, started{id, i}); err != nil {
+			if err = g.noteStarted(ctx, t, started{id, i, t.queued.UnixMilli()}); err != nil {
 				break
 			}
 		}
@@ -518,7 +539,7 @@
 	defer g.leave(t.job)
 	name, action := t.operation(), t.entry.Action()
 	stage := repb.ExecutionStage_QUEUED
-	if err := out.Send(staged(name, action, stage)); err != nil {
+	if err := out.Send(staged(name, action, stage, t.queued)); err != nil {
 		return err
 	}
 	look := time.NewTicker(lookEvery)
@@ -556,7 +577,7 @@
 				}
 			case err == nil && st.Status == protocol.StatusRunning && stage == repb.ExecutionStage_QUEUED:
 				stage = repb.ExecutionStage_EXECUTING
-				if err := out.Send(staged(name, action, stage)); err != nil {
+				if err := out.Send(staged(name, action, stage, t.queued)); err != nil {
 					return err
 				}
 			}
@@ -612,16 +633,20 @@
 	return g.follow(ctx, out, t)
 }
 
-func staged(name string, action content.Digest, stage repb.ExecutionStage_Value) *longrunningpb.Operation {
+func staged(name string, action content.Digest, stage repb.ExecutionStage_Value, queued time.Time) *longrunningpb.Operation {
 	op := &longrunningpb.Operation{Name: name}
-	if meta, err := anypb.New(&repb.ExecuteOperationMetadata{Stage: stage, ActionDigest: wire(action), DigestFunction: repb.DigestFunction_SHA256}); err == nil {
+	m := &repb.ExecuteOperationMetadata{Stage: stage, ActionDigest: wire(action), DigestFunction: repb.DigestFunction_SHA256}
+	if queued.UnixMilli() > 0 {
+		m.PartialExecutionMetadata = &repb.ExecutedActionMetadata{QueuedTimestamp: timestamppb.New(queued)}
+	}
+	if meta, err := anypb.New(m); err == nil {
 		op.Metadata = meta
 	}
 	return op
 }
 
 func completed(name string, action content.Digest, resp *repb.ExecuteResponse) *longrunningpb.Operation {
-	op := staged(name, action, repb.ExecutionStage_COMPLETED)
+	op := staged(name, action, repb.ExecutionStage_COMPLETED, time.Time{})
 	op.Done = true
 	if packed, err := anypb.New(resp); err == nil {
 		op.Result = &longrunningpb.Operation_Response{Response: packed}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -390,6 +391,9 @@
 func parseResource(name string, write bool) (resource, error) {
 	bad := status.Errorf(codes.InvalidArgument, "%q names no blob", clip(name))
 	parts := strings.Split(name, "/")
+	if slices.Contains(parts, "logstreams") {
+		return resource{}, status.Error(codes.Unimplemented, "log streams are not served: a result's stdout and stderr are blobs")
+	}
 	at := -1
 	for i, p := range parts {
 		if write && p == "uploads" || !write && (p == "blobs" || p == "compressed-blobs") {
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -169,7 +169,7 @@
 		if err != nil {
 			return err
 		}
-		if err := errors.Join(r.copyTo(ctx, out, digest(f.GetDigest())), out.Close()); err != nil {
+		if err := errors.Join(r.copyTo(ctx, out, digest(f.GetDigest())), out.Close(), adorn(out.Name(), f.GetNodeProperties())); err != nil {
 			return err
 		}
 	}
@@ -192,6 +192,19 @@
 	return nil
 }
 
+// adorn gives a file the properties that its node asks for.
+func adorn(path string, p *repb.NodeProperties) error {
+	if m := p.GetUnixMode(); m != nil {
+		if err := os.Chmod(path, os.FileMode(m.GetValue()).Perm()); err != nil {
+			return err
+		}
+	}
+	if at := p.GetMtime(); at != nil {
+		return os.Chtimes(path, at.AsTime(), at.AsTime())
+	}
+	return nil
+}
+
 // bounded keeps the first bytes that are written to it.
 type bounded struct{ bytes.Buffer }
 
@@ -203,7 +216,7 @@
 }
 
 func (r *Runner) run(ctx context.Context, action *repb.Action, command *repb.Command, dir string) (*repb.ActionResult, error) {
-	meta := &repb.ExecutedActionMetadata{Worker: r.machine, InputFetchStartTimestamp: timestamppb.Now()}
+	meta := &repb.ExecutedActionMetadata{Worker: r.machine, WorkerStartTimestamp: timestamppb.Now(), InputFetchStartTimestamp: timestamppb.Now()}
 	if err := r.materialise(ctx, digest(action.GetInputRootDigest()), dir); err != nil {
 		return nil, err
 	}
@@ -268,16 +281,17 @@
 		}
 	}
 	for _, o := range outputs {
-		if err := r.output(ctx, result, wd, o); err != nil {
+		if err := r.output(ctx, result, wd, o, command.GetOutputDirectoryFormat()); err != nil {
 			return nil, err
 		}
 	}
 	meta.OutputUploadCompletedTimestamp = timestamppb.Now()
+	meta.WorkerCompletedTimestamp = meta.OutputUploadCompletedTimestamp
 	return result, nil
 }
 
 // output uploads one output path, if the command has made it.
-func (r *Runner) output(ctx context.Context, result *repb.ActionResult, wd, o string) error {
+func (r *Runner) output(ctx context.Context, result *repb.ActionResult, wd, o string, format repb.Command_OutputDirectoryFormat) error {
 	at := filepath.Join(wd, filepath.FromSlash(o))
 	info, err := os.Lstat(at)
 	if errors.Is(err, os.ErrNotExist) {
@@ -298,15 +312,23 @@
 		if tree.Root, err = r.directory(ctx, at, tree); err != nil {
 			return err
 		}
-		raw, err := proto.Marshal(tree)
-		if err != nil {
-			return err
+		out := &repb.OutputDirectory{Path: o}
+		if format != repb.Command_DIRECTORY_ONLY {
+			if out.TreeDigest, err = r.put(ctx, tree); err != nil {
+				return err
+			}
 		}
-		d, err := r.upload(ctx, raw)
-		if err != nil {
-			return err
+		if format != repb.Command_TREE_ONLY {
+			for _, child := range tree.Children {
+				if _, err := r.put(ctx, child); err != nil {
+					return err
+				}
+			}
+			if out.RootDirectoryDigest, err = r.put(ctx, tree.Root); err != nil {
+				return err
+			}
 		}
-		result.OutputDirectories = append(result.OutputDirectories, &repb.OutputDirectory{Path: o, TreeDigest: d})
+		result.OutputDirectories = append(result.OutputDirectories, out)
 	case info.Mode().IsRegular():
 		d, err := r.file(ctx, at)
 		if err != nil {
@@ -317,6 +339,15 @@
 	return nil
 }
 
+// put uploads a message.
+func (r *Runner) put(ctx context.Context, m proto.Message) (*repb.Digest, error) {
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		return nil, err
+	}
+	return r.upload(ctx, raw)
+}
+
 func (r *Runner) file(ctx context.Context, at string) (*repb.Digest, error) {
 	data, err := os.ReadFile(at)
 	if err != nil {
