--- a/cmd/spindlegate/main.go
+++ b/cmd/spindlegate/main.go
@@ -64,6 +64,9 @@
 	// in its certificate.
 	Peers  map[string]string `yaml:"peers"`
 	Copies int               `yaml:"copies"`
+	// Self is the address under which the other gates know this one; default:
+	// listen.
+	Self   string `yaml:"self"`
 	Gather struct {
 		For  time.Duration `yaml:"for"`
 		Most int           `yaml:"most"`
@@ -134,6 +137,12 @@
 	case s.Store.Results < 1:
 		return nil, errors.New("store.results: must be at least 1")
 	}
+	if s.Self == "" {
+		s.Self = s.Listen
+	}
+	if host, _, err := net.SplitHostPort(s.Self); len(s.Peers) > 0 && (err != nil || host == "" || net.ParseIP(host).IsUnspecified()) {
+		return nil, fmt.Errorf("self: %q is no address that other gates reach; write the one that they have under peers", s.Self)
+	}
 	if err := s.Shares.check(s.teams()); err != nil {
 		return nil, fmt.Errorf("shares: %w", err)
 	}
@@ -175,7 +184,7 @@
 	var access gate.Access = gate.Open{}
 	var opts []grpc.ServerOption
 	config := gate.Config{Instances: s.Instances, ClientResults: s.ClientResults, Class: s.Class, MaxBlob: int64(s.Store.MaxBlob * 1e6),
-		GatherFor: s.Gather.For, GatherMost: s.Gather.Most}
+		Self: s.Self, Grace: s.Repair.Grace, GatherFor: s.Gather.For, GatherMost: s.Gather.Most}
 	if config.Shares, err = s.Shares.open(s.teams()); err != nil {
 		return usageError{err}
 	}
@@ -234,7 +243,7 @@
 	}
 	conns := map[string]*grpc.ClientConn{}
 	for addr, name := range s.Peers {
-		conn, err := grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(dial(name)))
+		conn, err := gate.DialPeer(addr, dial(name))
 		if err != nil {
 			return fmt.Errorf("peer %s: %w", addr, err)
 		}
--- a/internal/buildtool/buildtool.go
+++ b/internal/buildtool/buildtool.go
@@ -237,8 +237,15 @@
 	var resp *repb.ExecuteResponse
 	operation := ""
 	// Blobs may go between upload and run, with a gate; then they are uploaded again.
-	for range 20 {
-		if err = r.upload(ctx, blobs); err != nil {
+	for try := range 20 {
+		if try > 0 { // the gate that has them may only be restarting
+			select {
+			case <-time.After(pause * time.Duration(try)):
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			}
+		}
+		if err = r.upload(ctx, blobs, try > 0); err != nil {
 			return err
 		}
 		resp, operation, err = r.execute(ctx, digest)
@@ -322,8 +329,9 @@
 	}
 }
 
-// upload brings what is missing.
-func (r *run) upload(ctx context.Context, blobs map[string][]byte) error {
+// upload brings what is missing, or everything: a gate that does not see a blob is
+// not helped by another one that does.
+func (r *run) upload(ctx context.Context, blobs map[string][]byte, all bool) error {
 	ask := &repb.FindMissingBlobsRequest{InstanceName: r.b.instance}
 	for _, h := range slices.Sorted(maps.Keys(blobs)) {
 		ask.BlobDigests = append(ask.BlobDigests, &repb.Digest{Hash: h, SizeBytes: int64(len(blobs[h]))})
@@ -354,7 +362,11 @@
 			req.Requests, size = nil, 0
 			return nil
 		}
-		for _, d := range resp.GetMissingBlobDigests() {
+		bring := resp.GetMissingBlobDigests()
+		if all {
+			bring = ask.BlobDigests
+		}
+		for _, d := range bring {
 			data := blobs[d.GetHash()]
 			if len(data) > batch {
 				if err := r.write(ctx, d, data); err != nil {
--- a/internal/gate/actions.go
+++ b/internal/gate/actions.go
@@ -180,7 +180,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if md, _ := metadata.FromIncomingContext(ctx); g.fromWorker(ctx) && len(md.Get(ExecutionMark)) == 1 {
+	if md, _ := metadata.FromIncomingContext(ctx); (g.fromWorker(ctx) || g.fromPeer(ctx)) && len(md.Get(ExecutionMark)) == 1 {
 		return g.executed(ctx, req, space, md.Get(ExecutionMark)[0])
 	}
 	if !g.config.ClientResults && !g.fromPeer(ctx) {
@@ -197,8 +197,9 @@
 	if err != nil || len(raw) > maxResult {
 		return nil, status.Errorf(codes.InvalidArgument, "the result is larger than %d bytes", maxResult)
 	}
+	md, _ := metadata.FromIncomingContext(ctx)
 	first, err := g.stored(space, action)
-	if err == nil && (g.fromPeer(ctx) || g.whole(ctx, req.GetInstanceName(), space, first) == nil) {
+	if err == nil && !(g.fromPeer(ctx) && len(md.Get(replaceMark)) > 0) && (g.fromPeer(ctx) || g.whole(ctx, req.GetInstanceName(), space, first) == nil) {
 		return first, nil
 	}
 	// A gate that copies its result here has looked that it is whole.
@@ -227,6 +228,13 @@
 	if req.GetActionResult() == nil {
 		return nil, status.Error(codes.InvalidArgument, "the result is missing")
 	}
+	if !g.fromPeer(ctx) {
+		if decided, err := g.decidedElsewhere(ctx, req, execution); decided != nil || err != nil {
+			return decided, err
+		}
+	}
+	// A peer's question goes no further, but what it takes to answer it may.
+	ctx = asOwn(ctx)
 	raw, err := g.read(ctx, req.GetInstanceName(), content.Key{Space: space, Digest: e.Action()}, maxTreeNode)
 	if err != nil {
 		return nil, failure(err)
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -467,42 +467,6 @@
 	return g.peerResult(ctx, instance, key)
 }
 
-// RecordResult keeps the result of an execution, if there is none yet; the first
-// stays. It says whether this one was it.
-func (g *Gate) RecordResult(ctx context.Context, instance, space string, e *ManifestEntry, result *repb.ActionResult, cache bool) (bool, error) {
-	if err := g.whole(ctx, instance, space, result); err != nil {
-		return false, err
-	}
-	raw, err := proto.Marshal(result)
-	if err != nil || len(raw) > maxResult {
-		return false, fmt.Errorf("%w: the result is larger than %d bytes", content.ErrTooLarge, maxResult)
-	}
-	key := content.Digest{Hash: e.Execution}
-	g.recording.Lock()
-	defer g.recording.Unlock()
-	if g.anywhere(ctx, instance, space, key) != nil {
-		g.discarded.Add(1)
-		return false, nil
-	}
-	if err := g.results.Put(space, key, raw); err != nil {
-		return false, err
-	}
-	g.spreadResult(ctx, instance, key, result)
-	if cache && result.GetExitCode() == 0 && endedBadly(result) == nil {
-		if err := g.results.Put(space, e.Action(), raw); err != nil {
-			return false, err
-		}
-		g.spreadResult(ctx, instance, e.Action(), result)
-	}
-	g.gather.mu.Lock()
-	t := g.gather.running[space+"/"+e.Execution]
-	g.gather.mu.Unlock()
-	if t != nil {
-		t.once.Do(func() { close(t.done) })
-	}
-	return true, nil
-}
-
 // operation is a name that any gate can follow.
 func (t *task) operation() string {
 	return strings.Join([]string{"operations", t.job, fmt.Sprint(t.index), t.entry.Execution, t.entry.Action().String(), t.instance}, "/")
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -70,6 +70,11 @@
 	MaxBlob       int64
 	// Class is the class of the jobs that actions become.
 	Class string
+	// Self is the address under which the other gates know this one.
+	Self string
+	// Grace is how long a gate that does not answer may only be restarting; after
+	// it, the next one decides on results in its place.
+	Grace time.Duration
 	// GatherFor is how long an action waits for others to become a job with,
 	// GatherMost how many that are at the most.
 	GatherFor  time.Duration
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -8,13 +8,16 @@
 	"io"
 	"log/slog"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
 	"google.golang.org/genproto/googleapis/bytestream"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
@@ -26,6 +29,10 @@
 // from this gate's own folder only, so that gates never ask in circles.
 const peerMark = "micaspindle-peer"
 
+// replaceMark is in the metadata of a record that replaces one whose blobs are
+// lost.
+const replaceMark = "micaspindle-replace"
+
 // lookMark is in the metadata of a gate's question what another one holds, where
 // nobody relies on the answer: nothing is promised.
 const lookMark = "micaspindle-look"
@@ -57,7 +64,90 @@
 	bytes bytestream.ByteStreamClient
 	mates inspection.NeighboursClient
 	// rests until, in milliseconds since 1970.
-	rests atomic.Int64
+	rests   atomic.Int64
+	silence silence
+}
+
+// silence is for how long a gate has not answered, as far as it was asked.
+type silence struct {
+	mu          sync.Mutex
+	since, last time.Time
+}
+
+// failed notes that it did not answer now. What is not asked for long proves
+// nothing, so that its silence begins anew.
+func (s *silence) failed(now time.Time, grace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.since.IsZero() || now.Sub(s.last) > grace/2 {
+		s.since = now
+	}
+	s.last = now
+}
+
+func (s *silence) answered() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.since = time.Time{}
+}
+
+// over says whether a gate has been silent for longer than the grace.
+func (s *silence) over(now time.Time, grace time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.since.IsZero() && now.Sub(s.since) > grace
+}
+
+// grace is how long a gate may be silent before it counts as gone.
+func (g *Gate) grace() time.Duration {
+	if g.config.Grace > 0 {
+		return g.config.Grace
+	}
+	return defaultGrace
+}
+
+// defaultGrace is for gates whose settings say nothing.
+const defaultGrace = 2 * time.Minute
+
+// brief bounds a call to a gate that did not answer a moment ago.
+const brief = 200 * time.Millisecond
+
+// reach are the other gates in the digest's order; those that did not answer a
+// moment ago come last, and are given little time.
+func (p *Peers) reach(hash string) []*peerGate {
+	active := p.inOrder(hash)
+	if p == nil {
+		return nil
+	}
+	for _, g := range p.rank(hash) {
+		if !slices.Contains(active, g) {
+			active = append(active, g)
+		}
+	}
+	return active
+}
+
+// timeFor is how long a call to a gate may take that would have a limit.
+func (g *peerGate) timeFor(limit time.Duration) time.Duration {
+	if g.rests.Load() > time.Now().UnixMilli() {
+		return min(limit, brief)
+	}
+	return limit
+}
+
+// weight is a gate's place in the order of a hash.
+func weight(addr, hash string) uint64 {
+	h := fnv.New64a()
+	_, _ = io.WriteString(h, addr+" "+hash)
+	return h.Sum64()
+}
+
+// DialPeer connects to another gate. One that comes back is reached again within a
+// second: gRPC's own pauses between tries grow to two minutes.
+func DialPeer(addr string, secure credentials.TransportCredentials) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(secure),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: peerTime,
+			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}))
 }
 
 // NewPeers speaks to other gates; conns are by address.
@@ -87,9 +177,7 @@
 	}
 	var list []weighed
 	for _, g := range p.gates {
-		h := fnv.New64a()
-		_, _ = io.WriteString(h, g.addr+" "+hash)
-		list = append(list, weighed{g, h.Sum64()})
+		list = append(list, weighed{g, weight(g.addr, hash)})
 	}
 	slices.SortFunc(list, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
 	out := make([]*peerGate, len(list))
@@ -107,6 +195,9 @@
 	err := f(ctx)
 	if c := status.Code(err); c == codes.Unavailable || c == codes.DeadlineExceeded && ctx.Err() != nil {
 		g.rests.Store(time.Now().Add(peerRest).UnixMilli())
+	} else if err == nil {
+		g.rests.Store(0)
+		g.silence.answered()
 	}
 	return err
 }
@@ -127,7 +218,7 @@
 		return g.store.Missing(space, digests)
 	}
 	left := g.store.Missing(space, digests)
-	for _, p := range g.peers.inOrder("") {
+	for _, p := range g.peers.reach("") {
 		if len(left) == 0 {
 			break
 		}
@@ -135,7 +226,7 @@
 		for _, d := range left {
 			req.BlobDigests = append(req.BlobDigests, wire(d))
 		}
-		err := p.call(ctx, peerTime, func(ctx context.Context) error {
+		err := p.call(ctx, p.timeFor(peerTime), func(ctx context.Context) error {
 			resp, err := p.cas.FindMissingBlobs(ctx, req)
 			if err != nil {
 				return err
@@ -159,8 +250,8 @@
 	if !errors.Is(err, content.ErrNotFound) || g.fromPeer(ctx) {
 		return r, err
 	}
-	for _, p := range g.peers.inOrder(k.Hash) {
-		ferr := p.call(ctx, transferTime(k.Size), func(ctx context.Context) error { return g.fetch(ctx, p, instance, k) })
+	for _, p := range g.peers.reach(k.Hash) {
+		ferr := p.call(ctx, p.timeFor(transferTime(k.Size)), func(ctx context.Context) error { return g.fetch(ctx, p, instance, k) })
 		if ferr == nil {
 			return g.store.Open(k)
 		}
@@ -297,9 +388,9 @@
 
 // peerResult asks the other gates for an action's result.
 func (g *Gate) peerResult(ctx context.Context, instance string, action content.Digest) *repb.ActionResult {
-	for _, p := range g.peers.inOrder(action.Hash) {
+	for _, p := range g.peers.reach(action.Hash) {
 		var result *repb.ActionResult
-		err := p.call(ctx, peerTime, func(ctx context.Context) (err error) {
+		err := p.call(ctx, p.timeFor(peerTime), func(ctx context.Context) (err error) {
 			result, err = p.ac.GetActionResult(ctx, &repb.GetActionResultRequest{InstanceName: instance, ActionDigest: wire(action)})
 			return err
 		})
@@ -312,6 +403,14 @@
 
 // spreadResult writes a result to as many other gates as there should be copies.
 func (g *Gate) spreadResult(ctx context.Context, instance string, action content.Digest, result *repb.ActionResult) {
+	g.spreadRecord(ctx, instance, action, result, false)
+}
+
+// spreadRecord is spreadResult; replace says that what the others have is lost.
+func (g *Gate) spreadRecord(ctx context.Context, instance string, action content.Digest, result *repb.ActionResult, replace bool) {
+	if replace {
+		ctx = metadata.AppendToOutgoingContext(ctx, replaceMark, "1")
+	}
 	if g.peers == nil || g.fromPeer(ctx) {
 		return
 	}
--- a/internal/gate/peers_test.go
+++ b/internal/gate/peers_test.go
@@ -78,7 +78,7 @@
 		}
 		config := oneTeam
 		config.MaxBlob = roomy.MaxBlob
-		config.Class = "build"
+		config.Class, config.Self = "build", l.Addr().String()
 		config.IsPeer = func(context.Context) bool { return true }
 		peers := NewPeers(copies, others, slog.New(slog.DiscardHandler))
 		g := New(config, store, results, everyone{}, peers, jobs, slog.New(slog.DiscardHandler))
@@ -262,21 +262,7 @@
 	a := s.clients[0]
 	data := random(100_000)
 	d := a.blob(data)
-	file := ""
-	_ = filepath.WalkDir(s.dirs[0], func(path string, _ fs.DirEntry, _ error) error {
-		if strings.Contains(path, d.Hash) {
-			file = path
-		}
-		return nil
-	})
-	raw, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	raw[5000] ^= 1
-	if err := os.WriteFile(file, raw, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	file := spoil(t, s.dirs[0], d.Hash)
 	r, err := s.gates[0].Repair(repair.Settings{Copies: 2, BytesPerSecond: 1e9, Every: time.Minute}, filepath.Join(t.TempDir(), "at"), slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -291,3 +277,23 @@
 		t.Errorf("%d bytes on disk, %v", len(got), err)
 	}
 }
+
+// spoil flips a bit of a blob on disk, and says where.
+func spoil(t *testing.T, dir, hash string) (file string) {
+	t.Helper()
+	_ = filepath.WalkDir(dir, func(path string, _ fs.DirEntry, _ error) error {
+		if strings.Contains(path, hash) {
+			file = path
+		}
+		return nil
+	})
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw[len(raw)/2] ^= 1
+	if err := os.WriteFile(file, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
