--- a/internal/gate/execute_test.go
+++ b/internal/gate/execute_test.go
@@ -3,9 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"log/slog"
-	"net"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -13,17 +10,13 @@
 	"time"
 
 	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
-	"google.golang.org/genproto/googleapis/bytestream"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"micaspindle/internal/admission"
 	"micaspindle/internal/client"
-	"micaspindle/internal/content"
 	"micaspindle/internal/protocol"
 )
 
@@ -98,33 +91,9 @@
 // startExecuting serves a gate whose jobs are scripted.
 func startExecuting(t *testing.T, config Config) (*build, *Gate, *scriptedJobs) {
 	t.Helper()
-	dir := t.TempDir()
-	store, _, err := content.Open(filepath.Join(dir, "content"), roomy)
-	if err != nil {
-		t.Fatal(err)
-	}
-	results, err := content.OpenResults(filepath.Join(dir, "results"), 1000)
-	if err != nil {
-		t.Fatal(err)
-	}
-	config.MaxBlob, config.Class = roomy.MaxBlob, "build"
 	jobs := &scriptedJobs{ended: map[string]bool{}, states: map[string]string{}, submitted: make(chan *protocol.Submission, 1000)}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	g := New(config, store, results, everyone{}, nil, jobs, slog.New(slog.DiscardHandler))
-	server := g.Server()
-	go func() { _ = server.Serve(l) }()
-	t.Cleanup(func() { server.Stop(); _ = store.Close() })
-	conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = conn.Close() })
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	t.Cleanup(cancel)
-	return &build{t, ctx, repb.NewContentAddressableStorageClient(conn), repb.NewActionCacheClient(conn), bytestream.NewByteStreamClient(conn), conn}, g, jobs
+	b, g := startWith(t, config, everyone{}, roomy, jobs)
+	return b, g, jobs
 }
 
 // action uploads an action that is like no other.
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -55,22 +55,30 @@
 
 // start serves a gate on loopback and returns a client of it.
 func start(t *testing.T, config Config, access Access, opt content.Options) (*build, *content.Store) {
+	t.Helper()
+	b, g := startWith(t, config, access, opt, nil)
+	return b, g.store
+}
+
+// startWith is start with what actions become.
+func startWith(t *testing.T, config Config, access Access, opt content.Options, jobs Jobs) (*build, *Gate) {
 	t.Helper()
 	dir := t.TempDir()
 	store, _, err := content.Open(filepath.Join(dir, "content"), opt)
 	if err != nil {
 		t.Fatal(err)
 	}
-	results, err := content.OpenResults(filepath.Join(dir, "results"), 100)
+	results, err := content.OpenResults(filepath.Join(dir, "results"), 1000)
 	if err != nil {
 		t.Fatal(err)
 	}
-	config.MaxBlob = opt.MaxBlob
+	config.MaxBlob, config.Class = opt.MaxBlob, "build"
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := New(config, store, results, access, nil, nil, slog.New(slog.DiscardHandler)).Server()
+	g := New(config, store, results, access, nil, jobs, slog.New(slog.DiscardHandler))
+	server := g.Server()
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { server.Stop(); _ = store.Close() })
 	conn, err := grpc.NewClient(l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
@@ -80,7 +88,7 @@
 	t.Cleanup(func() { _ = conn.Close() })
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
-	return &build{t, ctx, repb.NewContentAddressableStorageClient(conn), repb.NewActionCacheClient(conn), bytestream.NewByteStreamClient(conn), conn}, store
+	return &build{t, ctx, repb.NewContentAddressableStorageClient(conn), repb.NewActionCacheClient(conn), bytestream.NewByteStreamClient(conn), conn}, g
 }
 
 func (b *build) as(credential string) *build {
--- a/internal/lab/gates.go
+++ b/internal/lab/gates.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"syscall"
 	"time"
 
 	"go.yaml.in/yaml/v3"
@@ -32,7 +31,7 @@
 	Kills    int
 	settings string
 	cmd      *exec.Cmd
-	exited   chan struct{}
+	exited   <-chan struct{}
 }
 
 // Exited tells when the gate's process has ended.
@@ -133,25 +132,12 @@
 
 // RestartGate starts a gate that does not run.
 func (c *Cluster) RestartGate(g *Gate) error {
-	logFile, err := os.OpenFile(g.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return fmt.Errorf("lab: %w", err)
-	}
 	cmd := exec.Command(c.opt.GateBinary, "--config", g.settings)
-	cmd.Stderr = logFile
-	cmd.Env = append(os.Environ(), "LOG_LEVEL="+c.opt.LogLevel)
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		_ = logFile.Close()
-		return fmt.Errorf("lab: start %s: %w", g.Label, err)
+	exited, err := c.spawn(g.Label, g.LogFile, cmd)
+	if err != nil {
+		return err
 	}
-	g.cmd, g.exited = cmd, make(chan struct{})
-	exited := g.exited
-	c.group.Go(func() {
-		_ = cmd.Wait()
-		_ = logFile.Close()
-		close(exited)
-	})
+	g.cmd, g.exited = cmd, exited
 	return nil
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -85,7 +85,7 @@
 	Kills    int
 	settings string
 	cmd      *exec.Cmd
-	exited   chan struct{}
+	exited   <-chan struct{}
 }
 
 // Teams and machine types are those of both deployments, in small.
@@ -250,32 +250,41 @@
 	return out
 }
 
-// Restart starts a controller that does not run.
-func (c *Cluster) Restart(n *Node) error {
-	logFile, err := os.OpenFile(n.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+// spawn starts a process of the cluster that writes its log to a file; the channel
+// is closed when it has ended. Whatever ends this process ends it too.
+func (c *Cluster) spawn(label, log string, cmd *exec.Cmd) (<-chan struct{}, error) {
+	file, err := os.OpenFile(log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
-		return fmt.Errorf("lab: %w", err)
-	}
-	args := []string{"--config", n.settings}
-	if c.opt.Hosted != nil {
-		args = append(args, "--operator", c.opt.Hosted.operator)
+		return nil, fmt.Errorf("lab: %w", err)
 	}
-	cmd := exec.Command(c.opt.Binary, args...)
-	cmd.Stderr = logFile
+	cmd.Stderr = file
 	cmd.Env = append(os.Environ(), "LOG_LEVEL="+c.opt.LogLevel)
-	// Whatever ends this process ends the controllers too.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		_ = logFile.Close()
-		return fmt.Errorf("lab: start %s: %w", n.Label, err)
+		_ = file.Close()
+		return nil, fmt.Errorf("lab: start %s: %w", label, err)
 	}
-	n.cmd, n.exited = cmd, make(chan struct{})
-	exited := n.exited
+	exited := make(chan struct{})
 	c.group.Go(func() {
 		_ = cmd.Wait()
-		_ = logFile.Close()
+		_ = file.Close()
 		close(exited)
 	})
+	return exited, nil
+}
+
+// Restart starts a controller that does not run.
+func (c *Cluster) Restart(n *Node) error {
+	args := []string{"--config", n.settings}
+	if c.opt.Hosted != nil {
+		args = append(args, "--operator", c.opt.Hosted.operator)
+	}
+	cmd := exec.Command(c.opt.Binary, args...)
+	exited, err := c.spawn(n.Label, n.LogFile, cmd)
+	if err != nil {
+		return err
+	}
+	n.cmd, n.exited = cmd, exited
 	return nil
 }
 
