A credential that has ended is shown once, not with every look; a result is marshalled once

Change: persist keeps the credential that it falls back to; the size is counted without bytes. Measured: the test of ended tokens now counts one showing; it passes under the race detector.

--- a/internal/gate/decide.go
+++ b/internal/gate/decide.go
@@ -74,8 +74,7 @@
 	if err := g.whole(ctx, instance, space, result); err != nil {
 		return false, err
 	}
-	raw, err := proto.Marshal(result)
-	if err != nil || len(raw) > maxResult {
+	if proto.Size(result) > maxResult {
 		return false, fmt.Errorf("%w: the result is larger than %d bytes", content.ErrTooLarge, maxResult)
 	}
 	key := content.Digest{Hash: e.Execution}
@@ -84,6 +83,7 @@
 	own.Lock()
 	defer own.Unlock()
 	replace := false
+	var err error
 	if first := g.anywhere(ctx, instance, space, key); first != nil {
 		if replace, err = g.lost(ctx, instance, space, first); err != nil {
 			return false, err
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -56,11 +56,14 @@
 // persist does something with a client's credential, or, if that has ended since,
 // as this gate for whom it was: what was accepted goes on, and what nobody wants
 // ends, by this gate's own rights.
-func (g *Gate) persist(cred, who string, f func(cred string) error) error {
-	err := f(cred)
+// The credential that has ended is not shown again: each time would be a refusal on
+// record.
+func (g *Gate) persist(cred *string, who string, f func(cred string) error) error {
+	err := f(*cred)
 	var r *client.Refusal
-	if who != "" && cred != vouching+who && errors.As(err, &r) && (r.Status == 401 || r.Status == 403) {
-		return f(vouching + who)
+	if who != "" && *cred != vouching+who && errors.As(err, &r) && (r.Status == 401 || r.Status == 403) {
+		*cred = vouching + who
+		return f(*cred)
 	}
 	return err
 }
@@ -377,7 +380,7 @@
 		}
 	}
 	if err == nil {
-		err = g.persist(cred, knownName(tasks[0].caller), func(cred string) error {
+		err = g.persist(&cred, knownName(tasks[0].caller), func(cred string) error {
 			return g.jobs.Submit(ctx, cred, submission(id, k.Space, g.config.Class, imageOf(k.Digest, lk.instance), lk.needs, len(tasks)))
 		})
 	}
@@ -522,7 +525,7 @@
 		if time.Since(asked) > statusEvery {
 			asked = time.Now()
 			var st protocol.JobStatus
-			err := g.persist(cred, who, func(cred string) (err error) {
+			err := g.persist(&cred, who, func(cred string) (err error) {
 				st, err = g.jobs.Status(ctx, cred, t.job)
 				return err
 			})
--- a/internal/gate/execute_test.go
+++ b/internal/gate/execute_test.go
@@ -134,6 +134,18 @@
 			t.Fatalf("called %q", jobs.calls)
 		}
 	}
+	time.Sleep(2 * statusEvery)
+	jobs.mu.Lock()
+	shown := 0
+	for _, c := range jobs.calls {
+		if c == "status as Bearer anna" {
+			shown++
+		}
+	}
+	jobs.mu.Unlock()
+	if shown > 1 {
+		t.Errorf("a token that has ended was shown %d times", shown)
+	}
 	g.result(t, action)
 	for {
 		op, err := s.Recv()
--- a/internal/gate/interest.go
+++ b/internal/gate/interest.go
@@ -238,7 +238,7 @@
 			continue
 		}
 		// A job that is done stays done.
-		err := g.persist(w.credential, w.who, func(cred string) error { return g.jobs.Withdraw(ctx, cred, job) })
+		err := g.persist(&w.credential, w.who, func(cred string) error { return g.jobs.Withdraw(ctx, cred, job) })
 		var r *client.Refusal
 		if err != nil && !errors.As(err, &r) {
 			g.log.Info("unwanted job not withdrawn yet", "job", job, "reason", err)
