--- a/internal/lab/gates.go
+++ b/internal/lab/gates.go
@@ -133,6 +133,7 @@
 // RestartGate starts a gate that does not run.
 func (c *Cluster) RestartGate(g *Gate) error {
 	cmd := exec.Command(c.opt.GateBinary, "--config", g.settings)
+	c.release(g.Addr)
 	exited, err := c.spawn(g.Label, g.LogFile, cmd)
 	if err != nil {
 		return err
