--- a/cmd/spindlegate/main.go
+++ b/cmd/spindlegate/main.go
@@ -176,7 +176,7 @@
 		return usageError{err}
 	}
 	defer store.Close() //nolint:errcheck // the process ends
-	log.Info("content store opened", "blobs", found.Blobs, "bytes", found.Bytes, "torn", found.Torn)
+	log.Info("content store opened", "blobs", found.Blobs, "bytes", found.Bytes, "torn", found.Torn, "kept", found.Kept)
 	results, err := content.OpenResults(filepath.Join(s.Store.Dir, "results"), s.Store.Results)
 	if err != nil {
 		return usageError{err}
--- a/cmd/spindlelab/build.go
+++ b/cmd/spindlelab/build.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
 	"io"
 	"os"
 	"strings"
@@ -44,6 +45,7 @@
 	Sources   int           `default:"100" help:"How many files are compiled (1 to 20000); a link for each ten and a last action come to that."`
 	Seconds   float64       `default:"0" help:"How long each action takes."`
 	Limit     time.Duration `default:"10m" help:"When it is given up."`
+	Digest    string        `default:"sha256" enum:"sha256,blake3" help:"What digests are computed with."`
 	Output    string        `default:"table" enum:"table,json" help:"How the result is printed."`
 }
 
@@ -71,7 +73,11 @@
 	ctx, cancel := context.WithTimeoutCause(ctx, b.Limit, fmt.Errorf("not done within %v", b.Limit))
 	defer cancel()
 	say := progress()
-	report, err := lab.Build(ctx, buildtool.New(conn, b.Instance), b.Name, b.Sources, b.Seconds, say)
+	tool := buildtool.New(conn, b.Instance)
+	if b.Digest == "blake3" {
+		tool.Function = repb.DigestFunction_BLAKE3
+	}
+	report, err := lab.Build(ctx, tool, b.Name, b.Sources, b.Seconds, say)
 	if err != nil {
 		return err
 	}
--- a/internal/buildtool/buildtool.go
+++ b/internal/buildtool/buildtool.go
@@ -25,6 +25,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
+	"lukechampine.com/blake3"
 )
 
 var reconnect = backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
@@ -83,19 +84,32 @@
 	cas      repb.ContentAddressableStorageClient
 	exec     repb.ExecutionClient
 	bytes    bytestream.ByteStreamClient
+	// Function is what digests are computed with: SHA-256, or BLAKE3.
+	Function repb.DigestFunction_Value
 }
 
 // New makes a builder.
 func New(conn grpc.ClientConnInterface, instance string) *Builder {
-	return &Builder{conn, instance, repb.NewContentAddressableStorageClient(conn), repb.NewExecutionClient(conn), bytestream.NewByteStreamClient(conn)}
+	return &Builder{conn: conn, instance: instance, cas: repb.NewContentAddressableStorageClient(conn), exec: repb.NewExecutionClient(conn), bytes: bytestream.NewByteStreamClient(conn)}
 }
 
 // Digest is the digest of data.
-func Digest(data []byte) *repb.Digest {
+func (b *Builder) Digest(data []byte) *repb.Digest {
 	sum := sha256.Sum256(data)
+	if b.Function == repb.DigestFunction_BLAKE3 {
+		sum = blake3.Sum256(data)
+	}
 	return &repb.Digest{Hash: hex.EncodeToString(sum[:]), SizeBytes: int64(len(data))}
 }
 
+// blob is a blob's name for transfers.
+func (b *Builder) blob(d *repb.Digest) string {
+	if b.Function == repb.DigestFunction_BLAKE3 {
+		return fmt.Sprintf("blobs/blake3/%s/%d", d.GetHash(), d.GetSizeBytes())
+	}
+	return fmt.Sprintf("blobs/%s/%d", d.GetHash(), d.GetSizeBytes())
+}
+
 func marshal(m proto.Message) ([]byte, error) {
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
 }
@@ -203,7 +217,7 @@
 	blobs := map[string][]byte{}
 	root := &repb.Directory{}
 	for _, name := range slices.Sorted(maps.Keys(n.Sources)) {
-		d := Digest(n.Sources[name])
+		d := r.b.Digest(n.Sources[name])
 		blobs[d.Hash] = n.Sources[name]
 		root.Files = append(root.Files, &repb.FileNode{Name: name, Digest: d})
 	}
@@ -217,7 +231,7 @@
 		EnvironmentVariables: []*repb.Command_EnvironmentVariable{{Name: "PATH", Value: "/usr/bin:/bin"}}}
 	add := func(m proto.Message) (*repb.Digest, error) {
 		raw, err := marshal(m)
-		d := Digest(raw)
+		d := r.b.Digest(raw)
 		blobs[d.Hash] = raw
 		return d, err
 	}
@@ -332,7 +346,7 @@
 // upload brings what is missing, or everything: a gate that does not see a blob is
 // not helped by another one that does.
 func (r *run) upload(ctx context.Context, blobs map[string][]byte, all bool) error {
-	ask := &repb.FindMissingBlobsRequest{InstanceName: r.b.instance}
+	ask := &repb.FindMissingBlobsRequest{InstanceName: r.b.instance, DigestFunction: r.b.Function}
 	for _, h := range slices.Sorted(maps.Keys(blobs)) {
 		ask.BlobDigests = append(ask.BlobDigests, &repb.Digest{Hash: h, SizeBytes: int64(len(blobs[h]))})
 	}
@@ -341,7 +355,7 @@
 		if err != nil {
 			return err
 		}
-		req := &repb.BatchUpdateBlobsRequest{InstanceName: r.b.instance}
+		req := &repb.BatchUpdateBlobsRequest{InstanceName: r.b.instance, DigestFunction: r.b.Function}
 		size := 0
 		flush := func() error {
 			if len(req.Requests) == 0 {
@@ -399,7 +413,7 @@
 	if err != nil {
 		return err
 	}
-	name := r.b.resource(fmt.Sprintf("uploads/%s/blobs/%s/%d", rand.Text(), d.GetHash(), d.GetSizeBytes()))
+	name := r.b.resource("uploads/" + rand.Text() + "/" + r.b.blob(d))
 	for at := 0; at < len(data); {
 		end := min(at+piece, len(data))
 		if err := w.Send(&bytestream.WriteRequest{ResourceName: name, WriteOffset: int64(at), Data: data[at:end], FinishWrite: end == len(data)}); err != nil {
@@ -426,7 +440,7 @@
 		if name != "" {
 			stream, err = r.b.exec.WaitExecution(ctx, &repb.WaitExecutionRequest{Name: name})
 		} else {
-			stream, err = r.b.exec.Execute(ctx, &repb.ExecuteRequest{InstanceName: r.b.instance, ActionDigest: digest})
+			stream, err = r.b.exec.Execute(ctx, &repb.ExecuteRequest{InstanceName: r.b.instance, ActionDigest: digest, DigestFunction: r.b.Function})
 		}
 		for err == nil {
 			var op *longrunningpb.Operation
@@ -473,7 +487,7 @@
 	r := &run{b: b, report: Report{}}
 	var data []byte
 	err := r.persist(ctx, func() error {
-		s, err := b.bytes.Read(ctx, &bytestream.ReadRequest{ResourceName: b.resource(fmt.Sprintf("blobs/%s/%d", d.GetHash(), d.GetSizeBytes()))})
+		s, err := b.bytes.Read(ctx, &bytestream.ReadRequest{ResourceName: b.resource(b.blob(d))})
 		if err != nil {
 			return err
 		}
@@ -488,7 +502,7 @@
 			}
 			data = append(data, m.GetData()...)
 		}
-		if !proto.Equal(Digest(data), d) {
+		if !proto.Equal(b.Digest(data), d) {
 			return status.Errorf(codes.DataLoss, "%d bytes do not have the digest %s", len(data), d.GetHash())
 		}
 		return nil
--- a/internal/buildtool/buildtool_test.go
+++ b/internal/buildtool/buildtool_test.go
@@ -65,7 +65,7 @@
 		}
 		if data = append(data, m.Data...); m.FinishWrite {
 			s.mu.Lock()
-			s.blobs[Digest(data).Hash] = data
+			s.blobs[new(Builder).Digest(data).Hash] = data
 			s.mu.Unlock()
 			return in.SendAndClose(&bytestream.WriteResponse{CommittedSize: int64(len(data))})
 		}
@@ -129,7 +129,7 @@
 }
 
 func made(data string) *repb.ExecuteResponse {
-	return &repb.ExecuteResponse{Result: &repb.ActionResult{OutputFiles: []*repb.OutputFile{{Path: "out", Digest: Digest([]byte(data))}}}}
+	return &repb.ExecuteResponse{Result: &repb.ActionResult{OutputFiles: []*repb.OutputFile{{Path: "out", Digest: new(Builder).Digest([]byte(data))}}}}
 }
 
 func refused(code codes.Code, details ...interface {
@@ -239,11 +239,11 @@
 	defer cancel()
 	large := bytes.Repeat([]byte("large "), 1_000_000)
 	report, err := b.Build(ctx, []Node{{Name: "a", Sources: map[string][]byte{"f": large}}}, nil)
-	if err != nil || report.BytesUp < int64(len(large)) || !bytes.Equal(s.blobs[Digest(large).Hash], large) {
+	if err != nil || report.BytesUp < int64(len(large)) || !bytes.Equal(s.blobs[b.Digest(large).Hash], large) {
 		t.Fatalf("%+v %v", report, err)
 	}
-	s.blobs[Digest(large).Hash] = []byte("small")
-	if _, err := b.Read(ctx, Digest(large)); status.Code(err) != codes.DataLoss {
+	s.blobs[b.Digest(large).Hash] = []byte("small")
+	if _, err := b.Read(ctx, b.Digest(large)); status.Code(err) != codes.DataLoss {
 		t.Errorf("other bytes were taken: %v", err)
 	}
 }
--- a/internal/content/content.go
+++ b/internal/content/content.go
@@ -6,7 +6,6 @@
 import (
 	"container/list"
 	"crypto/rand"
-	"crypto/sha256"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -22,38 +21,6 @@
 	"time"
 )
 
-// Digest is a blob's SHA-256 in hex and its size.
-type Digest struct {
-	Hash string
-	Size int64
-}
-
-func (d Digest) String() string { return d.Hash + "/" + strconv.FormatInt(d.Size, 10) }
-
-// Check says what is wrong with a digest.
-func (d Digest) Check() error {
-	if len(d.Hash) != 2*sha256.Size || d.Size < 0 {
-		return fmt.Errorf("%w: %q is no SHA-256 with a size", ErrInvalid, clip(d.String()))
-	}
-	for _, c := range d.Hash {
-		if !(c >= '0' && c <= '9' || c >= 'a' && c <= 'f') {
-			return fmt.Errorf("%w: %q is no SHA-256 in lower-case hex", ErrInvalid, clip(d.Hash))
-		}
-	}
-	return nil
-}
-
-func clip(s string) string { return s[:min(len(s), 80)] }
-
-// Of is the digest of data.
-func Of(data []byte) Digest {
-	sum := sha256.Sum256(data)
-	return Digest{hex.EncodeToString(sum[:]), int64(len(data))}
-}
-
-// Empty is the digest of nothing, which is always there.
-var Empty = Of(nil)
-
 // Key is a blob in a space.
 type Key struct {
 	Space string
@@ -92,8 +59,9 @@
 type Opened struct {
 	Blobs int
 	Bytes int64
-	// Torn counts files that were not whole and are gone.
-	Torn int
+	// Torn counts files that were not whole and are gone, Kept uploads that may be
+	// gone on with.
+	Torn, Kept int
 }
 
 // Store is a content store. Several goroutines may use it; one process owns its
@@ -108,6 +76,7 @@
 	order   list.List // of *entry, the least recently used first
 	used    int64     // bytes of blobs, and of uploads that may become ones
 	bySpace map[string]int64
+	kept    map[string]keptUpload // by path, of earlier processes
 	evicted int64
 	corrupt int64
 }
@@ -154,7 +123,7 @@
 		_ = lock.Close()
 		return nil, found, fmt.Errorf("content: %s is in use by another process", dir)
 	}
-	s := &Store{dir: dir, opt: opt, lock: lock, entries: map[Key]*entry{}, bySpace: map[string]int64{}}
+	s := &Store{dir: dir, opt: opt, lock: lock, entries: map[Key]*entry{}, bySpace: map[string]int64{}, kept: map[string]keptUpload{}}
 	if err := s.scan(&found); err != nil {
 		_ = lock.Close()
 		return nil, found, err
@@ -167,23 +136,15 @@
 
 // scan finds the blobs, oldest first.
 func (s *Store) scan(found *Opened) error {
-	temps, err := os.ReadDir(filepath.Join(s.dir, tempDir))
-	if err != nil {
+	if err := s.scanUploads(found); err != nil {
 		return fmt.Errorf("content: %w", err)
 	}
-	for _, t := range temps {
-		found.Torn++
-		// One that is gone already was removed by the end of what wrote it.
-		if err := os.Remove(filepath.Join(s.dir, tempDir, t.Name())); err != nil && !errors.Is(err, fs.ErrNotExist) {
-			return fmt.Errorf("content: %w", err)
-		}
-	}
 	type file struct {
 		key Key
 		at  time.Time
 	}
 	var files []file
-	err = filepath.WalkDir(filepath.Join(s.dir, blobDir), func(path string, d fs.DirEntry, err error) error {
+	err := filepath.WalkDir(filepath.Join(s.dir, blobDir), func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() {
 			return err
 		}
@@ -214,7 +175,11 @@
 }
 
 func (s *Store) path(k Key) string {
-	return filepath.Join(s.dir, blobDir, hex.EncodeToString([]byte(k.Space)), k.Hash[:2], k.Hash+"-"+strconv.FormatInt(k.Size, 10))
+	name := k.Hash + "-" + strconv.FormatInt(k.Size, 10)
+	if k.Function != SHA256 {
+		name += "-" + k.Function.String()
+	}
+	return filepath.Join(s.dir, blobDir, hex.EncodeToString([]byte(k.Space)), k.Hash[:2], name)
 }
 
 func (s *Store) parse(path string) (Key, bool) {
@@ -225,8 +190,12 @@
 	}
 	space, err := hex.DecodeString(parts[0])
 	name, num, _ := strings.Cut(parts[2], "-")
+	num, function, _ := strings.Cut(num, "-")
 	size, serr := strconv.ParseInt(num, 10, 64)
-	k := Key{string(space), Digest{name, size}}
+	k := Key{string(space), Digest{Hash: name, Size: size}}
+	if function == BLAKE3.String() {
+		k.Function = BLAKE3
+	}
 	return k, err == nil && serr == nil && k.Check() == nil && s.path(k) == path
 }
 
@@ -246,7 +215,7 @@
 	until := time.Now().Add(s.opt.Promise)
 	var missing []Digest
 	for _, d := range digests {
-		if d == Empty {
+		if d.IsEmpty() {
 			continue
 		}
 		e := s.entries[Key{space, d}]
@@ -267,7 +236,7 @@
 	defer s.mu.Unlock()
 	var pinned []*entry
 	for _, d := range digests {
-		if d == Empty {
+		if d.IsEmpty() {
 			continue
 		}
 		if e := s.entries[Key{space, d}]; e != nil {
@@ -298,6 +267,12 @@
 func (s *Store) reserve(space string, n int64) error {
 	now := time.Now()
 	limit := s.limit(space, n)
+	for path, left := range s.kept { // what may never be gone on with goes first
+		if s.used+n <= limit {
+			break
+		}
+		s.dropKept(path, left)
+	}
 	soonest := s.evict(now, limit-n, func(e *entry) bool { return s.beyond(e) })
 	if own := s.evict(now, limit-n, func(e *entry) bool { return e.key.Space == space }); !own.IsZero() && (soonest.IsZero() || own.Before(soonest)) {
 		soonest = own
@@ -380,12 +355,9 @@
 
 // Create begins a blob. Room for all of it is taken at once.
 func (s *Store) Create(k Key) (*Upload, error) {
-	if err := k.Check(); err != nil {
+	if err := s.takes(k); err != nil {
 		return nil, err
 	}
-	if k.Size > s.opt.MaxBlob {
-		return nil, fmt.Errorf("%w: %d bytes of at most %d", ErrTooLarge, k.Size, s.opt.MaxBlob)
-	}
 	s.mu.Lock()
 	err := s.reserve(k.Space, k.Size)
 	s.mu.Unlock()
@@ -397,7 +369,18 @@
 		s.release(k)
 		return nil, fmt.Errorf("content: %w", err)
 	}
-	return &Upload{s: s, key: k, f: f, h: sha256.New()}, nil
+	return &Upload{s: s, key: k, f: f, h: k.Function.New()}, nil
+}
+
+// takes says why the store takes no such blob.
+func (s *Store) takes(k Key) error {
+	if err := k.Check(); err != nil {
+		return err
+	}
+	if k.Size > s.opt.MaxBlob {
+		return fmt.Errorf("%w: %d bytes of at most %d", ErrTooLarge, k.Size, s.opt.MaxBlob)
+	}
+	return nil
 }
 
 func (s *Store) release(k Key) {
@@ -482,8 +465,8 @@
 
 // Put writes a whole blob.
 func (s *Store) Put(k Key, data []byte) error {
-	if k.Digest == Empty || s.has(k) {
-		if Of(data) != k.Digest {
+	if k.IsEmpty() || s.has(k) {
+		if k.Function.Of(data) != k.Digest {
 			return ErrMismatch
 		}
 		return nil
@@ -529,7 +512,7 @@
 	if err := k.Check(); err != nil {
 		return nil, err
 	}
-	if k.Digest == Empty {
+	if k.IsEmpty() {
 		return &Reader{SectionReader: io.NewSectionReader(strings.NewReader(""), 0, 0), unpin: func() {}}, nil
 	}
 	unpin, missing := s.Pin(k.Space, []Digest{k.Digest})
@@ -579,7 +562,7 @@
 // reread reads a blob's bytes; one that is not what it should be is removed. A disk
 // that does not answer proves nothing about it.
 func (s *Store) reread(k Key, r *Reader) error {
-	h := sha256.New()
+	h := k.Function.New()
 	n, err := io.Copy(h, r.SectionReader)
 	if err != nil && !errors.Is(err, syscall.EIO) {
 		return fmt.Errorf("content: %w", err)
@@ -642,7 +625,7 @@
 	defer s.mu.Unlock()
 	var out []Digest
 	for _, d := range digests {
-		if d != Empty && s.entries[Key{space, d}] == nil {
+		if !d.IsEmpty() && s.entries[Key{space, d}] == nil {
 			out = append(out, d)
 		}
 	}
--- a/internal/content/content_test.go
+++ b/internal/content/content_test.go
@@ -67,7 +67,7 @@
 			t.Errorf("%s: %v", name, err)
 		}
 	}
-	for _, d := range []Digest{{"x", 1}, {k.Hash, -1}, {strings.ToUpper(k.Hash), k.Size}, {"../../../../etc/passwd" + k.Hash[22:], 4}, {"", 0}} {
+	for _, d := range []Digest{{Hash: "x", Size: 1}, {Hash: k.Hash, Size: -1}, {Hash: strings.ToUpper(k.Hash), Size: k.Size}, {Hash: "../../../../etc/passwd" + k.Hash[22:], Size: 4}, {}, {Hash: k.Hash, Size: k.Size, Function: 7}} {
 		if _, err := s.Create(Key{"red", d}); !errors.Is(err, ErrInvalid) {
 			t.Errorf("%v: %v", d, err)
 		}
@@ -75,7 +75,7 @@
 			t.Errorf("%v: %v", d, err)
 		}
 	}
-	if _, err := s.Create(Key{"red", Digest{k.Hash, 1<<16 + 1}}); !errors.Is(err, ErrTooLarge) {
+	if _, err := s.Create(Key{"red", Digest{Hash: k.Hash, Size: 1<<16 + 1}}); !errors.Is(err, ErrTooLarge) {
 		t.Errorf("too large: %v", err)
 	}
 	if st := s.Stats(); st.Bytes != 5000 || st.Blobs != 1 {
@@ -286,10 +286,10 @@
 	if _, err := r.Get("blue", key(1)); !errors.Is(err, ErrNotFound) {
 		t.Errorf("another space's: %v", err)
 	}
-	if err := r.Put("red", Digest{"../x", 1}, nil); !errors.Is(err, ErrInvalid) {
+	if err := r.Put("red", Digest{Hash: "../x", Size: 1}, nil); !errors.Is(err, ErrInvalid) {
 		t.Errorf("a path: %v", err)
 	}
-	path := r.path(Key{"red", Digest{key(2).Hash, 0}})
+	path := r.path(Key{"red", Digest{Hash: key(2).Hash, Size: 0}})
 	data, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
@@ -385,3 +385,127 @@
 		t.Errorf("%+v", st)
 	}
 }
+
+// What a kill leaves of an upload with a name is gone on with, is not believed when
+// it changed on disk, takes room, makes room, and ends with its time.
+func TestUploadsAreGoneOnWith(t *testing.T) {
+	dir := t.TempDir()
+	opt := Options{MaxBytes: 10_000, MaxBlob: 9_000, Promise: time.Minute}
+	s, _ := open(t, dir, opt)
+	data := blob(1, 6000)
+	k := Key{"a", Of(data)}
+	begin := func(name string, k Key, data []byte) *Upload {
+		t.Helper()
+		u, err := s.Resume(name, k)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := u.Write(data); err != nil {
+			t.Fatal(err)
+		}
+		return u
+	}
+	again := func() Opened {
+		t.Helper()
+		_ = s.Close()
+		var found Opened
+		s, found = open(t, dir, opt)
+		return found
+	}
+	begin("one", k, data[:2000])
+	if found := again(); found.Kept != 1 || found.Bytes != 2000 || s.Stats().Bytes != 2000 || s.Begun("one") != 2000 || s.Begun("two") != 0 {
+		t.Fatalf("%+v", found)
+	}
+	u, err := s.Resume("one", k)
+	if err != nil || u.Size() != 2000 || s.Stats().Bytes != 6000 {
+		t.Fatal(err, s.Stats())
+	}
+	if _, err := u.Write(data[2000:]); err != nil || u.Commit() != nil {
+		t.Fatal(err)
+	}
+	if got, err := s.Read(k, 1<<16); err != nil || !bytes.Equal(got, data) || s.Begun("one") != 0 {
+		t.Fatal(err)
+	}
+
+	// Bytes that changed at rest.
+	other := blob(2, 3000)
+	begin("flipped", Key{"a", Of(other)}, other[:1500])
+	again()
+	file := s.keptPath("flipped")
+	bad := append([]byte(nil), other[:1500]...)
+	bad[7] ^= 1
+	if err := os.WriteFile(file, bad, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := begin("flipped", Key{"a", Of(other)}, other[1500:]).Commit(); !errors.Is(err, ErrMismatch) {
+		t.Errorf("changed bytes became a blob: %v", err)
+	}
+	if err := begin("flipped", Key{"a", Of(other)}, other).Commit(); err != nil {
+		t.Error(err)
+	}
+
+	// What may never be gone on with goes before any blob does.
+	begin("left", Key{"a", Of(blob(3, 900))}, blob(3, 900)[:800])
+	again()
+	s.Missing("a", []Digest{k.Digest, Of(other)})
+	put(t, s, "a", blob(4, 900))
+	if !s.Has(k) || s.Begun("left") != 0 || s.Stats().Bytes != 9900 {
+		t.Errorf("%+v, left %d", s.Stats(), s.Begun("left"))
+	}
+
+	// More than the blob is nothing, and what is too old goes.
+	s.forget(k)
+	begin("long", Key{"a", Of(blob(5, 900))}, blob(5, 900))
+	again()
+	if u, err := s.Resume("long", Key{"a", Of(blob(6, 100))}); err != nil || u.Size() != 0 {
+		t.Error(err)
+	}
+	begin("old", Key{"a", Of(blob(7, 900))}, blob(7, 300))
+	again()
+	s.Expire(time.Now().Add(-time.Minute))
+	if s.Begun("old") != 300 {
+		t.Error("what is new has gone")
+	}
+	s.Expire(time.Now().Add(time.Second))
+	if s.Begun("old") != 0 || len(s.kept) != 0 {
+		t.Error("what is old stays")
+	}
+}
+
+// One blob under two functions is two blobs, also after a restart.
+func TestFunctionsAreKeptApart(t *testing.T) {
+	dir := t.TempDir()
+	opt := Options{MaxBytes: 1 << 20, MaxBlob: 1 << 16, Promise: time.Minute}
+	s, _ := open(t, dir, opt)
+	data := blob(1, 500)
+	for _, d := range []Digest{Of(data), BLAKE3.Of(data)} {
+		if err := s.Put(Key{"a", d}, data); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wrong := Key{"a", Digest{Hash: Of(data).Hash, Size: 500, Function: BLAKE3}}
+	if err := s.Put(wrong, data); !errors.Is(err, ErrMismatch) || !BLAKE3.Of(nil).IsEmpty() || BLAKE3.Of(nil) == Empty {
+		t.Error(err)
+	}
+	_ = s.Close()
+	s, found := open(t, dir, opt)
+	if found.Blobs != 2 || !s.Has(Key{"a", BLAKE3.Of(data)}) || s.Has(wrong) {
+		t.Errorf("%+v", found)
+	}
+	r, err := OpenResults(filepath.Join(dir, "results"), 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Put("a", BLAKE3.Of(data), []byte("blake")); err != nil {
+		t.Fatal(err)
+	}
+	if r, err = OpenResults(filepath.Join(dir, "results"), 10); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := r.Get("a", BLAKE3.Of(data)); err != nil || string(got) != "blake" {
+		t.Error(string(got), err)
+	}
+	if _, err := r.Get("a", Digest{Hash: BLAKE3.Of(data).Hash}); !errors.Is(err, ErrNotFound) {
+		t.Error("a record under another function:", err)
+	}
+}
--- a/internal/content/results.go
+++ b/internal/content/results.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -57,9 +58,13 @@
 			return nil, fmt.Errorf("content: %w", err)
 		}
 		for _, e := range records {
-			k := Key{string(space), Digest{e.Name(), 0}}
+			k := Key{Space: string(space)}
+			var function string
+			if k.Hash, function, _ = strings.Cut(e.Name(), "-"); function == BLAKE3.String() {
+				k.Function = BLAKE3
+			}
 			info, err := e.Info()
-			if err != nil || k.Check() != nil {
+			if err != nil || k.Check() != nil || r.path(k) != filepath.Join(dir, sp.Name(), e.Name()) {
 				_ = os.Remove(filepath.Join(dir, sp.Name(), e.Name())) // a record half written
 				continue
 			}
@@ -74,7 +79,11 @@
 }
 
 func (r *Results) path(k Key) string {
-	return filepath.Join(r.dir, hex.EncodeToString([]byte(k.Space)), k.Hash)
+	name := k.Hash
+	if k.Function != SHA256 {
+		name += "-" + k.Function.String()
+	}
+	return filepath.Join(r.dir, hex.EncodeToString([]byte(k.Space)), name)
 }
 
 // Keys are all records' keys.
@@ -86,7 +95,7 @@
 
 // Get reads a record; one whose checksum does not fit is removed and not here.
 func (r *Results) Get(space string, d Digest) ([]byte, error) {
-	k := Key{space, Digest{d.Hash, 0}}
+	k := Key{space, Digest{Hash: d.Hash, Function: d.Function}}
 	if err := k.Check(); err != nil {
 		return nil, err
 	}
@@ -113,7 +122,7 @@
 
 // Put writes a record in place of any other, on disk before it returns.
 func (r *Results) Put(space string, d Digest, body []byte) error {
-	k := Key{space, Digest{d.Hash, 0}}
+	k := Key{space, Digest{Hash: d.Hash, Function: d.Function}}
 	if err := k.Check(); err != nil {
 		return err
 	}
--- a/internal/gate/actions.go
+++ b/internal/gate/actions.go
@@ -22,23 +22,24 @@
 // GetActionResult tells an action's result, if all that it names is here; these
 // blobs stay for as long as the store promises.
 func (g *Gate) GetActionResult(ctx context.Context, req *repb.GetActionResultRequest) (*repb.ActionResult, error) {
-	if err := sha256Only(req.GetDigestFunction()); err != nil {
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
 		return nil, err
 	}
 	space, err := g.space(ctx, req.GetInstanceName(), verbRead)
 	if err != nil {
 		return nil, err
 	}
-	action := digestOf(req.GetActionDigest())
+	action := digestIn(function, req.GetActionDigest())
 	result, err := g.stored(space, action)
 	if g.fromPeer(ctx) {
 		return result, failure(err) // whoever asks looks whether it is whole
 	}
 	if err == nil {
-		err = g.whole(ctx, req.GetInstanceName(), space, result)
+		err = g.whole(ctx, req.GetInstanceName(), space, function, result)
 	}
 	if errors.Is(err, content.ErrNotFound) {
-		if theirs := g.peerResult(ctx, req.GetInstanceName(), action); theirs != nil && g.whole(ctx, req.GetInstanceName(), space, theirs) == nil {
+		if theirs := g.peerResult(ctx, req.GetInstanceName(), action); theirs != nil && g.whole(ctx, req.GetInstanceName(), space, function, theirs) == nil {
 			return theirs, nil
 		}
 	}
@@ -63,8 +64,8 @@
 
 // whole says whether all that a result names is on some gate, and has it
 // promised there.
-func (g *Gate) whole(ctx context.Context, instance, space string, result *repb.ActionResult) error {
-	named, err := g.named(ctx, instance, space, result)
+func (g *Gate) whole(ctx context.Context, instance, space string, function content.Function, result *repb.ActionResult) error {
+	named, err := g.named(ctx, instance, space, function, result)
 	if err != nil {
 		return err
 	}
@@ -76,13 +77,13 @@
 
 // named are the blobs that a result needs: its files, its streams, and its
 // trees with all that they hold.
-func (g *Gate) named(ctx context.Context, instance, space string, r *repb.ActionResult) ([]content.Digest, error) {
+func (g *Gate) named(ctx context.Context, instance, space string, function content.Function, r *repb.ActionResult) ([]content.Digest, error) {
 	var out []content.Digest
 	add := func(d *repb.Digest) error {
 		if d == nil {
 			return nil
 		}
-		digest := digestOf(d)
+		digest := digestIn(function, d)
 		out = append(out, digest)
 		return digest.Check()
 	}
@@ -95,7 +96,7 @@
 	}
 	for _, d := range r.GetOutputDirectories() {
 		if root := d.GetRootDirectoryDigest(); root != nil {
-			if err := g.walk(ctx, instance, space, digestOf(root), func(at content.Digest, dir *repb.Directory) error {
+			if err := g.walk(ctx, instance, space, digestIn(function, root), func(at content.Digest, dir *repb.Directory) error {
 				out = append(out, at)
 				for _, f := range dir.GetFiles() {
 					if err := add(f.GetDigest()); err != nil {
@@ -116,7 +117,7 @@
 		if err := add(d.GetTreeDigest()); err != nil {
 			return nil, err
 		}
-		raw, err := g.read(ctx, instance, content.Key{Space: space, Digest: digestOf(d.GetTreeDigest())}, maxTreeNode)
+		raw, err := g.read(ctx, instance, content.Key{Space: space, Digest: digestIn(function, d.GetTreeDigest())}, maxTreeNode)
 		if err != nil {
 			return nil, err
 		}
@@ -146,7 +147,7 @@
 		if err != nil {
 			return err
 		}
-		dir := new(repb.Directory)
+		function, dir := at.Function, new(repb.Directory)
 		if err := proto.Unmarshal(raw, dir); err != nil {
 			return content.ErrNotFound
 		}
@@ -154,7 +155,7 @@
 			return err
 		}
 		for _, sub := range dir.GetDirectories() {
-			next := digestOf(sub.GetDigest())
+			next := digestIn(function, sub.GetDigest())
 			if err := next.Check(); err != nil {
 				return err
 			}
@@ -173,7 +174,8 @@
 // UpdateActionResult keeps a result that a client has made itself. The first one
 // stays for as long as all that it names is here.
 func (g *Gate) UpdateActionResult(ctx context.Context, req *repb.UpdateActionResultRequest) (*repb.ActionResult, error) {
-	if err := sha256Only(req.GetDigestFunction()); err != nil {
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
 		return nil, err
 	}
 	space, err := g.space(ctx, req.GetInstanceName(), verbWrite)
@@ -186,7 +188,7 @@
 	if !g.config.ClientResults && !g.fromPeer(ctx) {
 		return nil, status.Error(codes.PermissionDenied, "clients write no results here")
 	}
-	action := digestOf(req.GetActionDigest())
+	action := digestIn(function, req.GetActionDigest())
 	if err := action.Check(); err != nil {
 		return nil, failure(err)
 	}
@@ -199,12 +201,12 @@
 	}
 	md, _ := metadata.FromIncomingContext(ctx)
 	first, err := g.stored(space, action)
-	if err == nil && !(g.fromPeer(ctx) && len(md.Get(replaceMark)) > 0) && (g.fromPeer(ctx) || g.whole(ctx, req.GetInstanceName(), space, first) == nil) {
+	if err == nil && !(g.fromPeer(ctx) && len(md.Get(replaceMark)) > 0) && (g.fromPeer(ctx) || g.whole(ctx, req.GetInstanceName(), space, function, first) == nil) {
 		return first, nil
 	}
 	// A gate that copies its result here has looked that it is whole.
 	if !g.fromPeer(ctx) {
-		err := g.whole(ctx, req.GetInstanceName(), space, req.GetActionResult())
+		err := g.whole(ctx, req.GetInstanceName(), space, function, req.GetActionResult())
 		if errors.Is(err, content.ErrNotFound) {
 			return nil, status.Errorf(codes.FailedPrecondition, "%v; upload them before the result", err)
 		}
@@ -221,7 +223,11 @@
 
 // executed records what a worker's execution came to.
 func (g *Gate) executed(ctx context.Context, req *repb.UpdateActionResultRequest, space, execution string) (*repb.ActionResult, error) {
-	e := &ManifestEntry{Execution: execution, Hash: req.GetActionDigest().GetHash(), Size: req.GetActionDigest().GetSizeBytes()}
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
+		return nil, err
+	}
+	e := entryOf(execution, digestIn(function, req.GetActionDigest()))
 	if err := errors.Join(e.Action().Check(), (content.Digest{Hash: execution}).Check()); err != nil {
 		return nil, failure(err)
 	}
--- a/internal/gate/cas.go
+++ b/internal/gate/cas.go
@@ -22,7 +22,8 @@
 // FindMissingBlobs says which blobs are not here. Those that are, stay for as
 // long as the store promises.
 func (g *Gate) FindMissingBlobs(ctx context.Context, req *repb.FindMissingBlobsRequest) (*repb.FindMissingBlobsResponse, error) {
-	if err := sha256Only(req.GetDigestFunction()); err != nil {
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
 		return nil, err
 	}
 	space, err := g.space(ctx, req.GetInstanceName(), verbRead)
@@ -34,7 +35,7 @@
 	}
 	digests := make([]content.Digest, 0, len(req.GetBlobDigests()))
 	for _, d := range req.GetBlobDigests() {
-		digest := digestOf(d)
+		digest := digestIn(function, d)
 		if err := digest.Check(); err != nil {
 			return nil, failure(err)
 		}
@@ -76,7 +77,8 @@
 
 // BatchUpdateBlobs stores several blobs; each has its own answer.
 func (g *Gate) BatchUpdateBlobs(ctx context.Context, req *repb.BatchUpdateBlobsRequest) (*repb.BatchUpdateBlobsResponse, error) {
-	if err := sha256Only(req.GetDigestFunction()); err != nil {
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
 		return nil, err
 	}
 	space, err := g.space(ctx, req.GetInstanceName(), verbWrite)
@@ -96,7 +98,7 @@
 	resp := new(repb.BatchUpdateBlobsResponse)
 	for _, r := range req.GetRequests() {
 		data, err := unpack(r)
-		digest := digestOf(r.GetDigest())
+		digest := digestIn(function, r.GetDigest())
 		if err == nil {
 			err = g.store.Put(content.Key{Space: space, Digest: digest}, data)
 		}
@@ -117,7 +119,8 @@
 
 // BatchReadBlobs reads several blobs; each has its own answer.
 func (g *Gate) BatchReadBlobs(ctx context.Context, req *repb.BatchReadBlobsRequest) (*repb.BatchReadBlobsResponse, error) {
-	if err := sha256Only(req.GetDigestFunction()); err != nil {
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
 		return nil, err
 	}
 	space, err := g.space(ctx, req.GetInstanceName(), verbRead)
@@ -135,7 +138,7 @@
 	}
 	resp := new(repb.BatchReadBlobsResponse)
 	for _, d := range req.GetDigests() {
-		data, err := g.read(ctx, req.GetInstanceName(), content.Key{Space: space, Digest: digestOf(d)}, maxBatch)
+		data, err := g.read(ctx, req.GetInstanceName(), content.Key{Space: space, Digest: digestIn(function, d)}, maxBatch)
 		resp.Responses = append(resp.Responses, &repb.BatchReadBlobsResponse_Response{Digest: d, Data: data, Status: statusOf(err)})
 	}
 	return resp, nil
@@ -145,7 +148,8 @@
 // token says how many directories were told before; the tree never changes, so
 // the walk is the same each time.
 func (g *Gate) GetTree(req *repb.GetTreeRequest, out grpc.ServerStreamingServer[repb.GetTreeResponse]) error {
-	if err := sha256Only(req.GetDigestFunction()); err != nil {
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(out.Context(), callTime)
@@ -172,7 +176,7 @@
 		page, held = new(repb.GetTreeResponse), 0
 		return err
 	}
-	queue := []content.Digest{digestOf(req.GetRootDigest())}
+	queue := []content.Digest{digestIn(function, req.GetRootDigest())}
 	seen := map[content.Digest]bool{queue[0]: true}
 	for n := uint64(0); len(queue) > 0; n++ {
 		if err := ctx.Err(); err != nil {
@@ -195,7 +199,7 @@
 			return status.Errorf(codes.InvalidArgument, "blob %s is no directory", d)
 		}
 		for _, sub := range dir.GetDirectories() {
-			next := digestOf(sub.GetDigest())
+			next := digestIn(function, sub.GetDigest())
 			if err := next.Check(); err != nil {
 				return failure(err)
 			}
--- a/internal/gate/conformance_test.go
+++ b/internal/gate/conformance_test.go
@@ -98,6 +98,16 @@
 		many[i] = present
 	}
 	caps := repb.NewCapabilitiesClient(b.conn)
+	other := content.BLAKE3.Of([]byte("other"))
+	there := func(f repb.DigestFunction_Value) error { // the blob is there under one function and not under another
+		resp, err := b.cas.FindMissingBlobs(b.ctx, &repb.FindMissingBlobsRequest{DigestFunction: f, BlobDigests: []*repb.Digest{wire(other)}})
+		if err == nil && len(resp.MissingBlobDigests) > 0 {
+			err = status.Error(codes.NotFound, "missing")
+		}
+		return err
+	}
+	blake := b.blake(t, &repb.Command{Arguments: []string{"true"}})
+	blakeDone := b.blake(t, &repb.Action{CommandDigest: blake, InputRootDigest: b.blake(t, &repb.Directory{})})
 	for name, c := range map[string]struct {
 		err  error
 		want codes.Code
@@ -144,15 +154,23 @@
 		"Read: a size that is none":         {read("blobs/"+present.Hash+"/0x64", 0, 0), codes.InvalidArgument},
 		"Read: a log stream":                {read("logstreams/x", 0, 0), codes.Unimplemented},
 
-		"Write":                     {write("uploads/u1/blobs/"+content.Of([]byte("y")).String(), []byte("y"), 0), codes.OK},
-		"Write: what is there":      {write("uploads/u2/blobs/"+p, random(100), 0), codes.OK},
-		"Write: other bytes":        {write("uploads/u3/blobs/"+a, random(100), 0), codes.InvalidArgument},
-		"Write: too many bytes":     {write("uploads/u4/blobs/"+a, random(101), 0), codes.InvalidArgument},
-		"Write: a gap":              {write("uploads/u5/blobs/"+a, random(10), 50), codes.InvalidArgument},
-		"Write: no upload id":       {write("uploads//blobs/"+a, random(100), 0), codes.InvalidArgument},
-		"Write: too large":          {write("uploads/u6/blobs/"+absent.Hash+"/999999999999", random(10), 0), codes.InvalidArgument},
-		"QueryWriteStatus":          {second(b.bytes.QueryWriteStatus(b.ctx, &bytestream.QueryWriteStatusRequest{ResourceName: "uploads/u7/blobs/" + a})), codes.OK},
-		"QueryWriteStatus: no name": {second(b.bytes.QueryWriteStatus(b.ctx, &bytestream.QueryWriteStatusRequest{ResourceName: "blobs/" + a})), codes.InvalidArgument},
+		"Write":                                       {write("uploads/u1/blobs/"+content.Of([]byte("y")).String(), []byte("y"), 0), codes.OK},
+		"Write: what is there":                        {write("uploads/u2/blobs/"+p, random(100), 0), codes.OK},
+		"Write: other bytes":                          {write("uploads/u3/blobs/"+a, random(100), 0), codes.InvalidArgument},
+		"Write: too many bytes":                       {write("uploads/u4/blobs/"+a, random(101), 0), codes.InvalidArgument},
+		"Write: a gap":                                {write("uploads/u5/blobs/"+a, random(10), 50), codes.InvalidArgument},
+		"Write: no upload id":                         {write("uploads//blobs/"+a, random(100), 0), codes.InvalidArgument},
+		"Write: too large":                            {write("uploads/u6/blobs/"+absent.Hash+"/999999999999", random(10), 0), codes.InvalidArgument},
+		"Write: by BLAKE3":                            {write("uploads/u8/blobs/"+other.String(), []byte("other"), 0), codes.OK},
+		"Write: BLAKE3's other bytes":                 {write("uploads/u9/blobs/blake3/"+a, random(100), 0), codes.InvalidArgument},
+		"Read: by BLAKE3":                             {read("blobs/"+other.String(), 0, 0), codes.OK},
+		"Read: BLAKE3's as SHA-256":                   {read("blobs/"+other.Hash+"/5", 0, 0), codes.NotFound},
+		"FindMissingBlobs: by BLAKE3":                 {there(repb.DigestFunction_BLAKE3), codes.OK},
+		"FindMissingBlobs: BLAKE3's without its name": {there(repb.DigestFunction_UNKNOWN), codes.NotFound},
+		"Execute: by BLAKE3":                          {execute(&repb.ExecuteRequest{ActionDigest: blakeDone, DigestFunction: repb.DigestFunction_BLAKE3}), codes.OK},
+		"Execute: BLAKE3's without its name":          {execute(&repb.ExecuteRequest{ActionDigest: blakeDone}), codes.FailedPrecondition},
+		"QueryWriteStatus":                            {second(b.bytes.QueryWriteStatus(b.ctx, &bytestream.QueryWriteStatusRequest{ResourceName: "uploads/u7/blobs/" + a})), codes.OK},
+		"QueryWriteStatus: no name":                   {second(b.bytes.QueryWriteStatus(b.ctx, &bytestream.QueryWriteStatusRequest{ResourceName: "blobs/" + a})), codes.InvalidArgument},
 
 		"GetActionResult":                                                  {get(&repb.GetActionResultRequest{ActionDigest: done}), codes.OK},
 		"GetActionResult: absent":                                          {get(&repb.GetActionResultRequest{ActionDigest: absent}), codes.NotFound},
@@ -164,26 +182,28 @@
 		"UpdateActionResult: blobs that are missing":                       {keep(&repb.ActionResult{OutputFiles: []*repb.OutputFile{{Path: "f", Digest: absent}}}), codes.FailedPrecondition},
 		"UpdateActionResult: no result":                                    {keep(nil), codes.InvalidArgument},
 
-		"Execute: cached":                          {execute(&repb.ExecuteRequest{ActionDigest: done}), codes.OK},
-		"Execute: the cache passed over":           {execute(&repb.ExecuteRequest{ActionDigest: done, SkipCacheLookup: true}), codes.OK},
-		"Execute: absent":                          {execute(&repb.ExecuteRequest{ActionDigest: absent}), codes.FailedPrecondition},
-		"Execute: no action":                       {execute(&repb.ExecuteRequest{ActionDigest: present}), codes.InvalidArgument},
-		"Execute: no such instance":                {execute(&repb.ExecuteRequest{InstanceName: "none", ActionDigest: done}), codes.InvalidArgument},
-		"Execute: another digest function":         {execute(&repb.ExecuteRequest{ActionDigest: done, DigestFunction: repb.DigestFunction_SHA1}), codes.InvalidArgument},
-		"Execute: a command that is missing":       {act(&repb.Action{CommandDigest: absent, InputRootDigest: root}), codes.FailedPrecondition},
-		"Execute: inputs that are missing":         {act(&repb.Action{CommandDigest: command, InputRootDigest: holed}), codes.FailedPrecondition},
-		"Execute: a timeout of days":               {act(&repb.Action{CommandDigest: command, InputRootDigest: root, Timeout: durationpb.New(maxTimeout * 2)}), codes.InvalidArgument},
-		"Execute: an unknown property":             {act(&repb.Action{CommandDigest: command, InputRootDigest: root, Platform: &repb.Platform{Properties: []*repb.Platform_Property{{Name: "gpu"}}}}), codes.FailedPrecondition},
-		"Execute: no arguments":                    {cmd(&repb.Command{}), codes.InvalidArgument},
-		"Execute: an output outside":               {cmd(&repb.Command{Arguments: []string{"true"}, OutputPaths: []string{"../x"}}), codes.InvalidArgument},
-		"Execute: a working directory outside":     {cmd(&repb.Command{Arguments: []string{"true"}, WorkingDirectory: "/etc"}), codes.InvalidArgument},
-		"Execute: an environment that is none":     {cmd(&repb.Command{Arguments: []string{"true"}, EnvironmentVariables: []*repb.Command_EnvironmentVariable{{Name: "A=B"}}}), codes.InvalidArgument},
-		"Execute: a name that climbs":              {in(&repb.Directory{Files: []*repb.FileNode{{Name: "..", Digest: present}}}), codes.InvalidArgument},
-		"Execute: a name twice":                    {in(&repb.Directory{Files: []*repb.FileNode{{Name: "f", Digest: present}, {Name: "f", Digest: present}}}), codes.InvalidArgument},
-		"Execute: a link that leads out":           {in(&repb.Directory{Symlinks: []*repb.SymlinkNode{{Name: "l", Target: "../../x"}}}), codes.InvalidArgument},
-		"Execute: an absolute link":                {in(&repb.Directory{Symlinks: []*repb.SymlinkNode{{Name: "l", Target: "/etc/passwd"}}}), codes.InvalidArgument},
-		"Execute: node properties that are served": {in(&repb.Directory{Files: []*repb.FileNode{{Name: "f", Digest: present, NodeProperties: &repb.NodeProperties{Mtime: timestamppb.Now()}}}}), codes.OK},
-		"Execute: node properties that are not":    {in(&repb.Directory{Files: []*repb.FileNode{{Name: "f", Digest: present, NodeProperties: &repb.NodeProperties{Properties: []*repb.NodeProperty{{Name: "owner"}}}}}}), codes.InvalidArgument},
+		"Execute: cached":                            {execute(&repb.ExecuteRequest{ActionDigest: done}), codes.OK},
+		"Execute: the cache passed over":             {execute(&repb.ExecuteRequest{ActionDigest: done, SkipCacheLookup: true}), codes.OK},
+		"Execute: absent":                            {execute(&repb.ExecuteRequest{ActionDigest: absent}), codes.FailedPrecondition},
+		"Execute: no action":                         {execute(&repb.ExecuteRequest{ActionDigest: present}), codes.InvalidArgument},
+		"Execute: no such instance":                  {execute(&repb.ExecuteRequest{InstanceName: "none", ActionDigest: done}), codes.InvalidArgument},
+		"Execute: another digest function":           {execute(&repb.ExecuteRequest{ActionDigest: done, DigestFunction: repb.DigestFunction_SHA1}), codes.InvalidArgument},
+		"Execute: a command that is missing":         {act(&repb.Action{CommandDigest: absent, InputRootDigest: root}), codes.FailedPrecondition},
+		"Execute: inputs that are missing":           {act(&repb.Action{CommandDigest: command, InputRootDigest: holed}), codes.FailedPrecondition},
+		"Execute: a timeout of days":                 {act(&repb.Action{CommandDigest: command, InputRootDigest: root, Timeout: durationpb.New(maxTimeout * 2)}), codes.InvalidArgument},
+		"Execute: an unknown property":               {act(&repb.Action{CommandDigest: command, InputRootDigest: root, Platform: &repb.Platform{Properties: []*repb.Platform_Property{{Name: "gpu"}}}}), codes.FailedPrecondition},
+		"Execute: no arguments":                      {cmd(&repb.Command{}), codes.InvalidArgument},
+		"Execute: output properties that are served": {cmd(&repb.Command{Arguments: []string{"true"}, OutputNodeProperties: []string{"mtime", "unix_mode"}}), codes.OK},
+		"Execute: output properties that are not":    {cmd(&repb.Command{Arguments: []string{"true"}, OutputNodeProperties: []string{"owner"}}), codes.InvalidArgument},
+		"Execute: an output outside":                 {cmd(&repb.Command{Arguments: []string{"true"}, OutputPaths: []string{"../x"}}), codes.InvalidArgument},
+		"Execute: a working directory outside":       {cmd(&repb.Command{Arguments: []string{"true"}, WorkingDirectory: "/etc"}), codes.InvalidArgument},
+		"Execute: an environment that is none":       {cmd(&repb.Command{Arguments: []string{"true"}, EnvironmentVariables: []*repb.Command_EnvironmentVariable{{Name: "A=B"}}}), codes.InvalidArgument},
+		"Execute: a name that climbs":                {in(&repb.Directory{Files: []*repb.FileNode{{Name: "..", Digest: present}}}), codes.InvalidArgument},
+		"Execute: a name twice":                      {in(&repb.Directory{Files: []*repb.FileNode{{Name: "f", Digest: present}, {Name: "f", Digest: present}}}), codes.InvalidArgument},
+		"Execute: a link that leads out":             {in(&repb.Directory{Symlinks: []*repb.SymlinkNode{{Name: "l", Target: "../../x"}}}), codes.InvalidArgument},
+		"Execute: an absolute link":                  {in(&repb.Directory{Symlinks: []*repb.SymlinkNode{{Name: "l", Target: "/etc/passwd"}}}), codes.InvalidArgument},
+		"Execute: node properties that are served":   {in(&repb.Directory{Files: []*repb.FileNode{{Name: "f", Digest: present, NodeProperties: &repb.NodeProperties{Mtime: timestamppb.Now()}}}}), codes.OK},
+		"Execute: node properties that are not":      {in(&repb.Directory{Files: []*repb.FileNode{{Name: "f", Digest: present, NodeProperties: &repb.NodeProperties{Properties: []*repb.NodeProperty{{Name: "owner"}}}}}}), codes.InvalidArgument},
 		"WaitExecution: no operation": {func() error {
 			s, err := repb.NewExecutionClient(b.conn).WaitExecution(b.ctx, &repb.WaitExecutionRequest{Name: "operations/x"})
 			if err == nil {
@@ -201,5 +221,20 @@
 	}
 }
 
+// blake stores a message under its BLAKE3 digest.
+func (b *build) blake(t *testing.T, m proto.Message) *repb.Digest {
+	t.Helper()
+	raw, err := proto.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := wire(content.BLAKE3.Of(raw))
+	resp, err := b.cas.BatchUpdateBlobs(b.ctx, &repb.BatchUpdateBlobsRequest{DigestFunction: repb.DigestFunction_BLAKE3, Requests: []*repb.BatchUpdateBlobsRequest_Request{{Digest: d, Data: raw}}})
+	if err != nil || resp.Responses[0].GetStatus().GetCode() != 0 {
+		t.Fatal(err, resp)
+	}
+	return d
+}
+
 // second is the error of a call's two values.
 func second[T any](_ T, err error) error { return err }
--- a/internal/gate/decide.go
+++ b/internal/gate/decide.go
@@ -71,7 +71,8 @@
 // RecordResult keeps the result of an execution, if there is none yet; the first
 // stays for as long as what it names is anywhere. It says whether this one was it.
 func (g *Gate) RecordResult(ctx context.Context, instance, space string, e *ManifestEntry, result *repb.ActionResult, cache bool) (bool, error) {
-	if err := g.whole(ctx, instance, space, result); err != nil {
+	function := e.Action().Function
+	if err := g.whole(ctx, instance, space, function, result); err != nil {
 		return false, err
 	}
 	if proto.Size(result) > maxResult {
@@ -85,7 +86,7 @@
 	replace := false
 	var err error
 	if first := g.anywhere(ctx, instance, space, key); first != nil {
-		if replace, err = g.lost(ctx, instance, space, first); err != nil {
+		if replace, err = g.lost(ctx, instance, space, function, first); err != nil {
 			return false, err
 		}
 		if !replace {
@@ -138,8 +139,8 @@
 
 // lost says whether what a result names is on no gate. As long as a gate does not
 // answer that may only be restarting, that is not known.
-func (g *Gate) lost(ctx context.Context, instance, space string, result *repb.ActionResult) (bool, error) {
-	err := g.whole(ctx, instance, space, result)
+func (g *Gate) lost(ctx context.Context, instance, space string, function content.Function, result *repb.ActionResult) (bool, error) {
+	err := g.whole(ctx, instance, space, function, result)
 	if err == nil {
 		return false, nil
 	}
@@ -161,7 +162,7 @@
 			}
 		}
 		// All answer; they are asked once more, since one may have come back meanwhile.
-		if g.whole(ctx, instance, space, result) == nil {
+		if g.whole(ctx, instance, space, function, result) == nil {
 			return false, nil
 		}
 	}
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -125,6 +125,7 @@
 	if err := d.Check(); err != nil {
 		return nil, nil, failure(err)
 	}
+	function := d.Function
 	get := func(d content.Digest, m proto.Message) error {
 		raw, err := g.read(ctx, instance, content.Key{Space: space, Digest: d}, maxTreeNode)
 		if errors.Is(err, content.ErrNotFound) {
@@ -142,14 +143,14 @@
 	if err := get(d, action); err != nil {
 		return nil, nil, err
 	}
-	if err := get(digestOf(action.GetCommandDigest()), command); err != nil {
+	if err := get(digestIn(function, action.GetCommandDigest()), command); err != nil {
 		return nil, nil, err
 	}
 	if err := checkCommand(command); err != nil {
 		return nil, nil, err
 	}
 	var files, missing []content.Digest
-	queue := []content.Digest{digestOf(action.GetInputRootDigest())}
+	queue := []content.Digest{digestIn(function, action.GetInputRootDigest())}
 	seen := map[content.Digest]bool{queue[0]: true}
 	for len(queue) > 0 {
 		at := queue[0]
@@ -166,10 +167,10 @@
 			return nil, nil, err
 		}
 		for _, f := range dir.GetFiles() {
-			files = append(files, digestOf(f.GetDigest()))
+			files = append(files, digestIn(function, f.GetDigest()))
 		}
 		for _, sub := range dir.GetDirectories() {
-			next := digestOf(sub.GetDigest())
+			next := digestIn(function, sub.GetDigest())
 			if !seen[next] {
 				seen[next] = true
 				queue = append(queue, next)
@@ -199,16 +200,16 @@
 	}
 	for _, p := range properties(d) {
 		if len(p.GetProperties()) > 0 {
-			return status.Errorf(codes.InvalidArgument, "node property %q is not served; mtime and unix_mode are", clip(p.GetProperties()[0].GetName()))
+			return status.Errorf(codes.InvalidArgument, "node property %q is not served; %s and %s are", clip(p.GetProperties()[0].GetName()), PropertyMtime, PropertyMode)
 		}
 	}
 	for _, f := range d.GetFiles() {
-		if err := errors.Join(name(f.GetName()), digestOf(f.GetDigest()).Check()); err != nil {
+		if err := errors.Join(name(f.GetName()), digestIn(content.SHA256, f.GetDigest()).Check()); err != nil {
 			return status.Error(codes.InvalidArgument, err.Error())
 		}
 	}
 	for _, s := range d.GetDirectories() {
-		if err := errors.Join(name(s.GetName()), digestOf(s.GetDigest()).Check()); err != nil {
+		if err := errors.Join(name(s.GetName()), digestIn(content.SHA256, s.GetDigest()).Check()); err != nil {
 			return status.Error(codes.InvalidArgument, err.Error())
 		}
 	}
@@ -241,7 +242,8 @@
 	if g.jobs == nil {
 		return status.Error(codes.Unimplemented, "this gate runs nothing")
 	}
-	if err := sha256Only(req.GetDigestFunction()); err != nil {
+	function, err := functionOf(req.GetDigestFunction())
+	if err != nil {
 		return err
 	}
 	instance := req.GetInstanceName()
@@ -249,11 +251,11 @@
 	if err != nil {
 		return err
 	}
-	digest := digestOf(req.GetActionDigest())
+	digest := digestIn(function, req.GetActionDigest())
 	if !req.GetSkipCacheLookup() {
-		if result, err := g.stored(space, digest); err == nil && g.whole(ctx, instance, space, result) == nil {
+		if result, err := g.stored(space, digest); err == nil && g.whole(ctx, instance, space, function, result) == nil {
 			return out.Send(completed("", digest, &repb.ExecuteResponse{Result: result, CachedResult: true}))
-		} else if theirs := g.peerResult(ctx, instance, digest); theirs != nil && g.whole(ctx, instance, space, theirs) == nil {
+		} else if theirs := g.peerResult(ctx, instance, digest); theirs != nil && g.whole(ctx, instance, space, function, theirs) == nil {
 			return out.Send(completed("", digest, &repb.ExecuteResponse{Result: theirs, CachedResult: true}))
 		}
 	}
@@ -277,7 +279,7 @@
 	if action.GetDoNotCache() || req.GetSkipCacheLookup() {
 		salt = rand.Text()
 	}
-	t, err := g.enlist(ctx, instance, space, g.credential(ctx), n, ManifestEntry{Execution: executionKey(digest, salt), Hash: digest.Hash, Size: digest.Size})
+	t, err := g.enlist(ctx, instance, space, g.credential(ctx), n, *entryOf(executionKey(digest, salt), digest))
 	if err != nil {
 		return err
 	}
@@ -470,9 +472,15 @@
 	return g.peerResult(ctx, instance, key)
 }
 
-// operation is a name that any gate can follow.
+// operation is a name that any gate can follow. The function stands before the hash
+// unless that is SHA-256.
 func (t *task) operation() string {
-	return strings.Join([]string{"operations", t.job, fmt.Sprint(t.index), t.entry.Execution, t.entry.Action().String(), t.instance}, "/")
+	a := t.entry.Action()
+	hash := a.Hash
+	if a.Function != content.SHA256 {
+		hash = a.Function.String() + ":" + hash
+	}
+	return strings.Join([]string{"operations", t.job, fmt.Sprint(t.index), t.entry.Execution, hash, fmt.Sprint(a.Size), t.instance}, "/")
 }
 
 // parseOperation reads an operation's name.
@@ -484,6 +492,9 @@
 	}
 	t := &task{instance: parts[6], job: parts[1], done: make(chan struct{})}
 	t.entry = ManifestEntry{Execution: parts[3], Hash: parts[4]}
+	if function, hash, named := strings.Cut(parts[4], ":"); named {
+		t.entry.Function, t.entry.Hash = function, hash
+	}
 	if _, err := fmt.Sscan(parts[2]+" "+parts[5], &t.index, &t.entry.Size); err != nil || t.entry.Action().Check() != nil ||
 		(content.Digest{Hash: t.entry.Execution}).Check() != nil || t.operation() != name {
 		return nil, bad
@@ -515,7 +526,7 @@
 	key := content.Digest{Hash: t.entry.Execution}
 	for {
 		if result := g.anywhere(ctx, t.instance, t.space, key); result != nil {
-			if err := g.whole(ctx, t.instance, t.space, result); err == nil {
+			if err := g.whole(ctx, t.instance, t.space, action.Function, result); err == nil {
 				g.forgetTask(t)
 				return out.Send(completed(name, action, &repb.ExecuteResponse{Result: result, Status: endedBadly(result)}))
 			}
@@ -602,7 +613,7 @@
 
 func staged(name string, action content.Digest, stage repb.ExecutionStage_Value, queued time.Time) *longrunningpb.Operation {
 	op := &longrunningpb.Operation{Name: name}
-	m := &repb.ExecuteOperationMetadata{Stage: stage, ActionDigest: wire(action), DigestFunction: repb.DigestFunction_SHA256}
+	m := &repb.ExecuteOperationMetadata{Stage: stage, ActionDigest: wire(action), DigestFunction: FunctionOnWire(action.Function)}
 	if queued.UnixMilli() > 0 {
 		m.PartialExecutionMetadata = &repb.ExecutedActionMetadata{QueuedTimestamp: timestamppb.New(queued)}
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -9,7 +9,6 @@
 	"crypto/rand"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"slices"
 	"strings"
@@ -243,18 +242,31 @@
 	return st.Err()
 }
 
-func digestOf(d *repb.Digest) content.Digest {
-	return content.Digest{Hash: d.GetHash(), Size: d.GetSizeBytes()}
+// digestIn is a digest of the API, which says beside it what it is computed with.
+func digestIn(f content.Function, d *repb.Digest) content.Digest {
+	return content.Digest{Hash: d.GetHash(), Size: d.GetSizeBytes(), Function: f}
 }
 
 func wire(d content.Digest) *repb.Digest { return &repb.Digest{Hash: d.Hash, SizeBytes: d.Size} }
 
-// sha256Only refuses what asks for another digest function.
-func sha256Only(f repb.DigestFunction_Value) error {
-	if f != repb.DigestFunction_UNKNOWN && f != repb.DigestFunction_SHA256 {
-		return status.Errorf(codes.InvalidArgument, "digest function %s is not served; SHA256 is", f)
+// functionOf is a call's digest function, or refuses one that is not served. Who
+// names none means SHA-256: the length of a BLAKE3 hash is the same.
+func functionOf(f repb.DigestFunction_Value) (content.Function, error) {
+	switch f {
+	case repb.DigestFunction_UNKNOWN, repb.DigestFunction_SHA256:
+		return content.SHA256, nil
+	case repb.DigestFunction_BLAKE3:
+		return content.BLAKE3, nil
 	}
-	return nil
+	return 0, status.Errorf(codes.InvalidArgument, "digest function %s is not served; SHA256 and BLAKE3 are", f)
+}
+
+// FunctionOnWire is a digest function as the API names it.
+func FunctionOnWire(f content.Function) repb.DigestFunction_Value {
+	if f == content.BLAKE3 {
+		return repb.DigestFunction_BLAKE3
+	}
+	return repb.DigestFunction_SHA256
 }
 
 // GetCapabilities says what is served.
@@ -263,9 +275,10 @@
 		return nil, status.Errorf(codes.InvalidArgument, "there is no instance %q", clip(req.GetInstanceName()))
 	}
 	zstd := []repb.Compressor_Value{repb.Compressor_ZSTD}
+	functions := []repb.DigestFunction_Value{repb.DigestFunction_SHA256, repb.DigestFunction_BLAKE3}
 	return &repb.ServerCapabilities{
 		CacheCapabilities: &repb.CacheCapabilities{
-			DigestFunctions:                 []repb.DigestFunction_Value{repb.DigestFunction_SHA256},
+			DigestFunctions:                 functions,
 			ActionCacheUpdateCapabilities:   &repb.ActionCacheUpdateCapabilities{UpdateEnabled: g.config.ClientResults},
 			MaxBatchTotalSizeBytes:          maxBatch,
 			MaxCasBlobSizeBytes:             g.config.MaxBlob,
@@ -273,98 +286,13 @@
 			SupportedCompressors:            zstd,
 			SupportedBatchUpdateCompressors: zstd,
 		},
-		ExecutionCapabilities: &repb.ExecutionCapabilities{DigestFunction: repb.DigestFunction_SHA256, ExecEnabled: g.jobs != nil,
+		ExecutionCapabilities: &repb.ExecutionCapabilities{DigestFunction: repb.DigestFunction_SHA256, DigestFunctions: functions, ExecEnabled: g.jobs != nil,
 			ExecutionPriorityCapabilities: &repb.PriorityCapabilities{Priorities: []*repb.PriorityCapabilities_PriorityRange{{MinPriority: -1, MaxPriority: 1}}}},
 		LowApiVersion:  &semver.SemVer{Major: 2},
 		HighApiVersion: &semver.SemVer{Major: 2, Minor: 3},
 	}, nil
 }
 
-// uploads are writes that may be resumed, by their resource names.
-type uploads struct {
-	mu   sync.Mutex
-	open map[string]*partial
-}
-
-// partial is a write that has begun. One call at a time has it.
-type partial struct {
-	busy     bool
-	last     time.Time
-	upload   *content.Upload
-	received int64 // bytes as they came, compressed or not
-	sink     io.WriteCloser
-	sunk     chan error // of the decompression
-}
-
-const (
-	maxUploads = 1024
-	// resumeFor is how long a broken write may be gone on with.
-	resumeFor = 5 * time.Minute
-)
-
-// expire drops broken writes that nobody goes on with, with the lock held.
-func (u *uploads) expire() {
-	for n, p := range u.open {
-		if !p.busy && time.Since(p.last) > resumeFor {
-			p.drop()
-			delete(u.open, n)
-		}
-	}
-}
-
-// take gives a write to a call, begun if there is none.
-func (u *uploads) take(name string, begin func() (*partial, error)) (*partial, error) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.expire()
-	p := u.open[name]
-	if p != nil && p.busy {
-		return nil, status.Error(codes.Aborted, "another call writes this upload")
-	}
-	if p == nil {
-		if len(u.open) >= maxUploads {
-			return nil, retryLater(codes.ResourceExhausted, time.Second, "%d uploads are under way", maxUploads)
-		}
-		var err error
-		if p, err = begin(); err != nil {
-			return nil, failure(err)
-		}
-		u.open[name] = p
-	}
-	p.busy = true
-	return p, nil
-}
-
-// put back gives a write up; whether it may be resumed is for keep to say.
-func (u *uploads) putBack(name string, p *partial, keep bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	p.busy, p.last = false, time.Now()
-	if !keep {
-		p.drop()
-		delete(u.open, name)
-	}
-}
-
-// received says how much of a write has come.
-func (u *uploads) received(name string) int64 {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if p := u.open[name]; p != nil && !p.busy {
-		return p.received
-	}
-	return 0
-}
-
-func (p *partial) drop() {
-	if p.sunk != nil {
-		_ = p.sink.Close()
-		<-p.sunk
-		p.sunk = nil
-	}
-	p.upload.Abort()
-}
-
 // Sweep drops broken writes that nobody goes on with, and withdraws jobs that
 // nobody has waited for in a while, until ctx ends.
 func (g *Gate) Sweep(ctx context.Context, linger time.Duration) {
@@ -377,9 +305,8 @@
 				g.tellInterest(ctx, linger)
 				g.withdrawUnwanted(ctx, linger)
 			}
-			g.uploads.mu.Lock()
-			g.uploads.expire()
-			g.uploads.mu.Unlock()
+			g.uploads.sweep(time.Now())
+			g.store.Expire(time.Now().Add(-resumeFor))
 		case <-ctx.Done():
 			return
 		}
@@ -393,7 +320,7 @@
 	compressed bool
 }
 
-// parseResource reads {instance}/[uploads/{uuid}/]{blobs|compressed-blobs/zstd}/{hash}/{size}.
+// parseResource reads {instance}/[uploads/{uuid}/]{blobs|compressed-blobs/zstd}/[blake3/]{hash}/{size}.
 func parseResource(name string, write bool) (resource, error) {
 	bad := status.Errorf(codes.InvalidArgument, "%q names no blob", clip(name))
 	parts := strings.Split(name, "/")
@@ -427,6 +354,10 @@
 	default:
 		return resource{}, bad
 	}
+	function := content.SHA256
+	if len(rest) > 0 && rest[0] == content.BLAKE3.String() {
+		function, rest = content.BLAKE3, rest[1:]
+	}
 	// What follows an upload's size is the client's own.
 	if len(rest) < 2 || !write && len(rest) != 2 {
 		return resource{}, bad
@@ -435,7 +366,7 @@
 	if _, err := fmt.Sscanf(rest[1], "%d", &size); err != nil || fmt.Sprint(size) != rest[1] {
 		return resource{}, bad
 	}
-	r.digest = content.Digest{Hash: rest[0], Size: size}
+	r.digest = content.Digest{Hash: rest[0], Size: size, Function: function}
 	if err := r.digest.Check(); err != nil {
 		return resource{}, failure(err)
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -562,3 +562,6 @@
 		}
 	})
 }
+
+// digestOf is a digest of the API that names no function.
+func digestOf(d *repb.Digest) content.Digest { return digestIn(content.SHA256, d) }
--- a/internal/gate/inspect.go
+++ b/internal/gate/inspect.go
@@ -102,17 +102,20 @@
 		}
 	} else {
 		d := content.Digest{Hash: req.GetHash(), Size: req.GetSizeBytes()}
+		if function, hash, named := strings.Cut(d.Hash, ":"); named && function == content.BLAKE3.String() {
+			d.Function, d.Hash = content.BLAKE3, hash
+		}
 		if err := d.Check(); err != nil {
 			return nil, failure(err)
 		}
-		t = &task{instance: req.GetInstance(), entry: ManifestEntry{Execution: executionKey(d, ""), Hash: d.Hash, Size: d.Size}}
+		t = &task{instance: req.GetInstance(), entry: *entryOf(executionKey(d, ""), d)}
 	}
 	if t.space, err = g.space(ctx, t.instance, verbLook); err != nil {
 		return nil, err
 	}
 	reply := &inspection.ActionReply{State: "unknown", WaitsFor: "nothing is noted of it here or at a gate that answers"}
 	if result := g.anywhere(ctx, t.instance, t.space, t.entry.Action()); result != nil {
-		reply.Cached = g.whole(ctx, t.instance, t.space, result) == nil
+		reply.Cached = g.whole(ctx, t.instance, t.space, t.entry.Action().Function, result) == nil
 		if reply.Cached {
 			reply.State, reply.WaitsFor, reply.Result = "done", "", resultView(result)
 		}
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -222,7 +222,8 @@
 		if len(left) == 0 {
 			break
 		}
-		req := &repb.FindMissingBlobsRequest{InstanceName: instance}
+		function := left[0].Function // that of the call they come with
+		req := &repb.FindMissingBlobsRequest{InstanceName: instance, DigestFunction: FunctionOnWire(function)}
 		for _, d := range left {
 			req.BlobDigests = append(req.BlobDigests, wire(d))
 		}
@@ -233,7 +234,7 @@
 			}
 			left = left[:0:0]
 			for _, d := range resp.GetMissingBlobDigests() {
-				left = append(left, digestOf(d))
+				left = append(left, digestIn(function, d))
 			}
 			return nil
 		})
@@ -322,7 +323,7 @@
 		return
 	}
 	for _, d := range digests {
-		if d == content.Empty {
+		if d.IsEmpty() {
 			continue
 		}
 		copies := 1
@@ -359,7 +360,7 @@
 		if err != nil {
 			return err
 		}
-		resp, err := p.cas.BatchUpdateBlobs(ctx, &repb.BatchUpdateBlobsRequest{InstanceName: instance,
+		resp, err := p.cas.BatchUpdateBlobs(ctx, &repb.BatchUpdateBlobsRequest{InstanceName: instance, DigestFunction: FunctionOnWire(k.Function),
 			Requests: []*repb.BatchUpdateBlobsRequest_Request{{Digest: wire(k.Digest), Data: data}}})
 		if err == nil && len(resp.GetResponses()) == 1 {
 			err = status.FromProto(resp.Responses[0].GetStatus()).Err()
@@ -391,7 +392,7 @@
 	for _, p := range g.peers.reach(action.Hash) {
 		var result *repb.ActionResult
 		err := p.call(ctx, p.timeFor(peerTime), func(ctx context.Context) (err error) {
-			result, err = p.ac.GetActionResult(ctx, &repb.GetActionResultRequest{InstanceName: instance, ActionDigest: wire(action)})
+			result, err = p.ac.GetActionResult(ctx, &repb.GetActionResultRequest{InstanceName: instance, ActionDigest: wire(action), DigestFunction: FunctionOnWire(action.Function)})
 			return err
 		})
 		if err == nil {
@@ -420,7 +421,7 @@
 			break
 		}
 		err := p.call(ctx, peerTime, func(ctx context.Context) error {
-			_, err := p.ac.UpdateActionResult(ctx, &repb.UpdateActionResultRequest{InstanceName: instance, ActionDigest: wire(action), ActionResult: result})
+			_, err := p.ac.UpdateActionResult(ctx, &repb.UpdateActionResultRequest{InstanceName: instance, ActionDigest: wire(action), ActionResult: result, DigestFunction: FunctionOnWire(action.Function)})
 			return err
 		})
 		if err == nil {
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -37,10 +37,31 @@
 	Execution string `json:"execution"`
 	Hash      string `json:"hash"`
 	Size      int64  `json:"size"`
+	// Function is what the action's digests are computed with, "" SHA-256.
+	Function string `json:"function,omitempty"`
+}
+
+// entryOf is the entry of an execution of an action.
+func entryOf(execution string, action content.Digest) *ManifestEntry {
+	e := &ManifestEntry{Execution: execution, Hash: action.Hash, Size: action.Size}
+	if action.Function != content.SHA256 {
+		e.Function = action.Function.String()
+	}
+	return e
 }
 
 // Action is the entry's action.
-func (e *ManifestEntry) Action() content.Digest { return content.Digest{Hash: e.Hash, Size: e.Size} }
+func (e *ManifestEntry) Action() content.Digest {
+	d := content.Digest{Hash: e.Hash, Size: e.Size}
+	switch e.Function {
+	case "":
+	case content.BLAKE3.String():
+		d.Function = content.BLAKE3
+	default:
+		d.Hash = "" // of a gate that knows more functions: checked, it is none
+	}
+	return d
+}
 
 // ImagePrefix begins the images of jobs that were made of actions.
 const ImagePrefix = "actions/"
@@ -197,6 +218,12 @@
 	return slices.Concat(c.GetOutputPaths(), c.GetOutputFiles(), c.GetOutputDirectories())
 }
 
+// The node properties that are served, of inputs and of outputs.
+const (
+	PropertyMtime = "mtime"
+	PropertyMode  = "unix_mode"
+)
+
 // checkCommand says what is wrong with a command.
 func checkCommand(c *repb.Command) error {
 	if len(c.GetArguments()) == 0 || c.GetArguments()[0] == "" {
@@ -213,6 +240,11 @@
 			return status.Errorf(codes.InvalidArgument, "output path %q is outside the input root", clip(p))
 		}
 	}
+	for _, p := range c.GetOutputNodeProperties() {
+		if p != PropertyMtime && p != PropertyMode {
+			return status.Errorf(codes.InvalidArgument, "output node property %q is not served; %s and %s are", clip(p), PropertyMtime, PropertyMode)
+		}
+	}
 	for _, e := range c.GetEnvironmentVariables() {
 		if e.GetName() == "" || strings.ContainsAny(e.GetName(), "=\x00") || strings.ContainsRune(e.GetValue(), 0) {
 			return status.Errorf(codes.InvalidArgument, "%q is no environment variable", clip(e.GetName()))
--- a/internal/gate/repair.go
+++ b/internal/gate/repair.go
@@ -102,18 +102,27 @@
 
 // Lacks asks it, also while others leave it alone, and promises nothing.
 func (o *otherGate) Lacks(ctx context.Context, space string, digests []content.Digest) (missing []content.Digest, err error) {
-	req := &repb.FindMissingBlobsRequest{InstanceName: o.instances[space]}
-	for _, d := range digests {
-		req.BlobDigests = append(req.BlobDigests, wire(d))
-	}
-	err = o.p.call(metadata.AppendToOutgoingContext(ctx, lookMark, "1"), peerTime, func(ctx context.Context) error {
-		resp, err := o.p.cas.FindMissingBlobs(ctx, req)
-		for _, d := range resp.GetMissingBlobDigests() {
-			missing = append(missing, digestOf(d))
+	for _, function := range []content.Function{content.SHA256, content.BLAKE3} {
+		req := &repb.FindMissingBlobsRequest{InstanceName: o.instances[space], DigestFunction: FunctionOnWire(function)}
+		for _, d := range digests {
+			if d.Function == function {
+				req.BlobDigests = append(req.BlobDigests, wire(d))
+			}
+		}
+		if len(req.BlobDigests) == 0 {
+			continue
 		}
-		return err
-	})
-	return missing, err
+		if err := o.p.call(metadata.AppendToOutgoingContext(ctx, lookMark, "1"), peerTime, func(ctx context.Context) error {
+			resp, err := o.p.cas.FindMissingBlobs(ctx, req)
+			for _, d := range resp.GetMissingBlobDigests() {
+				missing = append(missing, digestIn(function, d))
+			}
+			return err
+		}); err != nil {
+			return nil, err
+		}
+	}
+	return missing, nil
 }
 
 // Push copies a blob to it.
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -96,60 +96,8 @@
 	return n, nil
 }
 
-// begin opens an upload, with a decompressor in front where it is needed.
-func (g *Gate) begin(k content.Key, compressed bool) (*partial, error) {
-	u, err := g.store.Create(k)
-	if err != nil {
-		return nil, err
-	}
-	p := &partial{upload: u}
-	if !compressed {
-		return p, nil
-	}
-	pr, pw := io.Pipe()
-	p.sink, p.sunk = pw, make(chan error, 1)
-	go func(sunk chan error) {
-		dec, err := zstd.NewReader(pr, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxWindow(maxWindow))
-		if err == nil {
-			_, err = io.CopyBuffer(struct{ io.Writer }{u}, struct{ io.Reader }{dec}, make([]byte, chunk))
-			dec.Close()
-		}
-		if err != nil && !errors.Is(err, content.ErrMismatch) {
-			err = errors.Join(content.ErrMismatch, err)
-		}
-		_ = pr.CloseWithError(content.ErrMismatch)
-		sunk <- err
-	}(p.sunk)
-	return p, nil
-}
-
-// add takes bytes as they come.
-func (p *partial) add(data []byte) error {
-	var err error
-	if p.sunk != nil {
-		_, err = p.sink.Write(data)
-	} else {
-		_, err = p.upload.Write(data)
-	}
-	p.received += int64(len(data))
-	return err
-}
-
-// finish checks and commits.
-func (p *partial) finish() error {
-	if p.sunk != nil {
-		_ = p.sink.Close()
-		err := <-p.sunk
-		p.sunk = nil
-		if err != nil {
-			return err
-		}
-	}
-	return p.upload.Commit()
-}
-
 // Write receives a blob. A broken write can be gone on with under the same name
-// at the offset that QueryWriteStatus tells.
+// at the offset that QueryWriteStatus tells, here or at another gate.
 func (g *Gate) Write(in bytestream.ByteStream_WriteServer) error {
 	first, err := in.Recv()
 	if err != nil {
@@ -166,7 +114,7 @@
 		return err
 	}
 	key := content.Key{Space: space, Digest: r.digest}
-	if r.digest == content.Empty || g.store.Has(key) {
+	if r.digest.IsEmpty() || g.store.Has(key) {
 		// There already: the client need not go on. The size told is that of the
 		// whole blob, or -1 where it came compressed.
 		size := r.digest.Size
@@ -175,19 +123,26 @@
 		}
 		return in.SendAndClose(&bytestream.WriteResponse{CommittedSize: size})
 	}
-	own := space + "\x00" + name
-	p, err := g.uploads.take(own, func() (*partial, error) { return g.begin(key, r.compressed) })
+	own := ownName(space, name)
+	p, err := g.uploads.take(own, func() (*partial, error) { return g.begin(own, key, r.compressed) })
 	if err != nil {
 		return err
 	}
+	if first.GetWriteOffset() > p.received.Load() && first.GetWriteOffset() <= r.digest.Size {
+		if err := g.catchUp(in.Context(), r.instance, name, p, first.GetWriteOffset()); err != nil {
+			g.uploads.putBack(own, p, p.received.Load() > 0)
+			return err
+		}
+	}
 	keep, err := g.receive(in, first, p, r)
 	if err != nil {
 		g.uploads.putBack(own, p, keep)
 		return failure(err)
 	}
-	size := p.received
-	err = p.finish()
-	g.uploads.putBack(own, p, false)
+	size := p.received.Load()
+	err = p.finish(g.store)
+	var full *content.FullError
+	g.uploads.putBack(own, p, errors.As(err, &full))
 	if err != nil {
 		return failure(err)
 	}
@@ -204,8 +159,8 @@
 		if msg.GetResourceName() != "" && msg.GetResourceName() != name {
 			return true, status.Error(codes.InvalidArgument, "the resource name changes in the middle")
 		}
-		if msg.GetWriteOffset() != p.received {
-			return true, status.Errorf(codes.InvalidArgument, "offset %d, but %d bytes have come", msg.GetWriteOffset(), p.received)
+		if msg.GetWriteOffset() != p.received.Load() {
+			return true, status.Errorf(codes.InvalidArgument, "offset %d, but %d bytes have come", msg.GetWriteOffset(), p.received.Load())
 		}
 		if err := g.pace(in.Context(), len(msg.GetData())); err != nil {
 			return true, err
@@ -238,8 +193,12 @@
 	if err != nil {
 		return nil, err
 	}
-	if r.digest == content.Empty || g.store.Has(content.Key{Space: space, Digest: r.digest}) {
+	if r.digest.IsEmpty() || g.store.Has(content.Key{Space: space, Digest: r.digest}) {
 		return &bytestream.QueryWriteStatusResponse{CommittedSize: r.digest.Size, Complete: true}, nil
 	}
-	return &bytestream.QueryWriteStatusResponse{CommittedSize: g.uploads.received(space + "\x00" + req.GetResourceName())}, nil
+	size := g.begun(ownName(space, req.GetResourceName()))
+	if size == 0 {
+		_, size, _ = g.begunElsewhere(ctx, r.instance, req.GetResourceName())
+	}
+	return &bytestream.QueryWriteStatusResponse{CommittedSize: size}, nil
 }
--- a/internal/lab/build_test.go
+++ b/internal/lab/build_test.go
@@ -152,6 +152,7 @@
 	timeout time.Duration
 	noCache bool
 	props   map[string]string
+	nodes   []string
 }
 
 // execute uploads an action and runs it as build tools do: whatever breaks is
@@ -161,7 +162,7 @@
 	for _, name := range sortedKeys(a.inputs) {
 		root.Files = append(root.Files, &repb.FileNode{Name: name, Digest: a.inputs[name]})
 	}
-	command := &repb.Command{Arguments: []string{"/bin/sh", "-c", a.script}, OutputPaths: []string{"out"},
+	command := &repb.Command{Arguments: []string{"/bin/sh", "-c", a.script}, OutputPaths: []string{"out"}, OutputNodeProperties: a.nodes,
 		EnvironmentVariables: []*repb.Command_EnvironmentVariable{{Name: "PATH", Value: "/usr/bin:/bin"}}}
 	act := &repb.Action{CommandDigest: digestOf(marshal(command)), InputRootDigest: digestOf(marshal(root)), DoNotCache: a.noCache, Platform: &repb.Platform{}}
 	if a.timeout > 0 {
@@ -318,6 +319,13 @@
 	if n := b.gate.Discarded(); n != 0 {
 		t.Errorf("%d results were discarded", n)
 	}
+	resp, err := b.execute(action{script: "echo x >out; chmod 640 out; touch -d @1000000000 out", nodes: []string{"mtime", "unix_mode"}})
+	if err != nil || len(resp.GetResult().GetOutputFiles()) != 1 {
+		t.Fatal(resp, err)
+	}
+	if p := resp.Result.OutputFiles[0].GetNodeProperties(); p.GetUnixMode().GetValue() != 0o640 || p.GetMtime().GetSeconds() != 1_000_000_000 {
+		t.Errorf("the output's properties: %v", p)
+	}
 }
 
 // What actions come to that fail, run too long, name what is not there or climb
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	repb "github.com/bazelbuild/remote-apis/build/bazel/remote/execution/v2"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -114,7 +115,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		_, err = Build(ctx, buildtool.New(conn, "refunds"), "by certificate", 3, 0, func(string) {})
+		tool := buildtool.New(conn, "refunds")
+		tool.Function = repb.DigestFunction_BLAKE3 // all the way to the machine and back
+		_, err = Build(ctx, tool, "by certificate", 3, 0, func(string) {})
 		_ = conn.Close()
 		if err == nil && want != codes.OK || err != nil && status.Code(errors.Unwrap(err)) != want {
 			t.Errorf("%s by certificate: %v, want %s", who, err, want)
--- a/internal/repair/repair.go
+++ b/internal/repair/repair.go
@@ -122,11 +122,13 @@
 type cursor struct {
 	Space string `json:"space"`
 	Hash  string `json:"hash"`
-	Size  int64  `json:"size"`
+	// Function is what the digest is computed with.
+	Function content.Function `json:"function,omitempty"`
+	Size     int64            `json:"size"`
 }
 
 func compare(a, b content.Key) int {
-	return cmp.Or(cmp.Compare(a.Space, b.Space), cmp.Compare(a.Hash, b.Hash), cmp.Compare(a.Size, b.Size))
+	return cmp.Or(cmp.Compare(a.Space, b.Space), cmp.Compare(a.Hash, b.Hash), cmp.Compare(a.Size, b.Size), cmp.Compare(a.Function, b.Function))
 }
 
 // Run makes passes until ctx ends.
@@ -204,7 +206,7 @@
 		done = end
 		r.count(func(p *Progress) { p.Done = done })
 		last := keys[done-1]
-		if err := r.note(&cursor{last.Space, last.Hash, last.Size}); err != nil {
+		if err := r.note(&cursor{Space: last.Space, Hash: last.Hash, Size: last.Size, Function: last.Function}); err != nil {
 			return err
 		}
 	}
@@ -389,7 +391,7 @@
 	if err := json.Unmarshal(raw, &c); err != nil {
 		return nil, fmt.Errorf("%s: %w", r.file, err)
 	}
-	return &content.Key{Space: c.Space, Digest: content.Digest{Hash: c.Hash, Size: c.Size}}, nil
+	return &content.Key{Space: c.Space, Digest: content.Digest{Hash: c.Hash, Size: c.Size, Function: c.Function}}, nil
 }
 
 // note keeps how far the pass is; nil: it is done. It may be lost: then a part of
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -26,6 +26,7 @@
 	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/timestamppb"
+	"google.golang.org/protobuf/types/known/wrapperspb"
 
 	"micaspindle/internal/content"
 	"micaspindle/internal/gate"
@@ -42,6 +43,10 @@
 	ac       repb.ActionCacheClient
 	instance string
 	machine  string
+	// function is what the action's digests are computed with.
+	function content.Function
+	// properties are those that the command wants of its outputs.
+	properties []string
 }
 
 // Run runs the task of a job with this image in an empty folder, and records its
@@ -52,7 +57,7 @@
 	if !ok {
 		return fmt.Errorf("runner: %q is no image of actions", image)
 	}
-	r := &Runner{bytestream.NewByteStreamClient(conn), repb.NewActionCacheClient(conn), instance, machine}
+	r := &Runner{bytestream.NewByteStreamClient(conn), repb.NewActionCacheClient(conn), instance, machine, content.SHA256, nil}
 	raw, err := r.read(ctx, manifest)
 	if err != nil {
 		return err
@@ -62,11 +67,12 @@
 		return fmt.Errorf("runner: the manifest has no task %d", index)
 	}
 	e := m.Tasks[index]
+	r.function = e.Action().Function
 	action, command := new(repb.Action), new(repb.Command)
 	if err := r.message(ctx, e.Action(), action); err != nil {
 		return err
 	}
-	if err := r.message(ctx, digest(action.GetCommandDigest()), command); err != nil {
+	if err := r.message(ctx, r.digest(action.GetCommandDigest()), command); err != nil {
 		return err
 	}
 	result, err := r.run(ctx, action, command, dir)
@@ -75,12 +81,12 @@
 	}
 	ctx = metadata.AppendToOutgoingContext(ctx, gate.ExecutionMark, e.Execution)
 	_, err = r.ac.UpdateActionResult(ctx, &repb.UpdateActionResultRequest{InstanceName: instance,
-		ActionDigest: &repb.Digest{Hash: e.Hash, SizeBytes: e.Size}, ActionResult: result})
+		ActionDigest: &repb.Digest{Hash: e.Hash, SizeBytes: e.Size}, ActionResult: result, DigestFunction: gate.FunctionOnWire(r.function)})
 	return err
 }
 
-func digest(d *repb.Digest) content.Digest {
-	return content.Digest{Hash: d.GetHash(), Size: d.GetSizeBytes()}
+func (r *Runner) digest(d *repb.Digest) content.Digest {
+	return content.Digest{Hash: d.GetHash(), Size: d.GetSizeBytes(), Function: r.function}
 }
 
 func (r *Runner) message(ctx context.Context, d content.Digest, m proto.Message) error {
@@ -106,7 +112,7 @@
 
 // copyTo fetches a blob and checks that it is what was asked for.
 func (r *Runner) copyTo(ctx context.Context, w io.Writer, d content.Digest) error {
-	if d == content.Empty {
+	if d.IsEmpty() {
 		return nil
 	}
 	s, err := r.bytes.Read(ctx, &bytestream.ReadRequest{ResourceName: r.name("blobs/" + d.String())})
@@ -128,7 +134,7 @@
 }
 
 func (r *Runner) upload(ctx context.Context, data []byte) (*repb.Digest, error) {
-	d := content.Of(data)
+	d := r.function.Of(data)
 	w, err := r.bytes.Write(ctx)
 	if err != nil {
 		return nil, err
@@ -169,7 +175,7 @@
 		if err != nil {
 			return err
 		}
-		if err := errors.Join(r.copyTo(ctx, out, digest(f.GetDigest())), out.Close(), adorn(out.Name(), f.GetNodeProperties())); err != nil {
+		if err := errors.Join(r.copyTo(ctx, out, r.digest(f.GetDigest())), out.Close(), adorn(out.Name(), f.GetNodeProperties())); err != nil {
 			return err
 		}
 	}
@@ -185,7 +191,7 @@
 		if err := gate.CheckName(s.GetName()); err != nil {
 			return err
 		}
-		if err := r.materialise(ctx, digest(s.GetDigest()), filepath.Join(dir, s.GetName())); err != nil {
+		if err := r.materialise(ctx, r.digest(s.GetDigest()), filepath.Join(dir, s.GetName())); err != nil {
 			return err
 		}
 	}
@@ -205,6 +211,23 @@
 	return nil
 }
 
+// of are the properties of an output that the command wants to know.
+func (r *Runner) of(info os.FileInfo) *repb.NodeProperties {
+	var p *repb.NodeProperties
+	for _, name := range r.properties {
+		if p == nil {
+			p = new(repb.NodeProperties)
+		}
+		switch name {
+		case gate.PropertyMode:
+			p.UnixMode = wrapperspb.UInt32(uint32(info.Mode().Perm()))
+		case gate.PropertyMtime:
+			p.Mtime = timestamppb.New(info.ModTime())
+		}
+	}
+	return p
+}
+
 // bounded keeps the first bytes that are written to it.
 type bounded struct{ bytes.Buffer }
 
@@ -217,7 +240,7 @@
 
 func (r *Runner) run(ctx context.Context, action *repb.Action, command *repb.Command, dir string) (*repb.ActionResult, error) {
 	meta := &repb.ExecutedActionMetadata{Worker: r.machine, WorkerStartTimestamp: timestamppb.Now(), InputFetchStartTimestamp: timestamppb.Now()}
-	if err := r.materialise(ctx, digest(action.GetInputRootDigest()), dir); err != nil {
+	if err := r.materialise(ctx, r.digest(action.GetInputRootDigest()), dir); err != nil {
 		return nil, err
 	}
 	meta.InputFetchCompletedTimestamp = timestamppb.Now()
@@ -280,6 +303,7 @@
 			return nil, err
 		}
 	}
+	r.properties = command.GetOutputNodeProperties()
 	for _, o := range outputs {
 		if err := r.output(ctx, result, wd, o, command.GetOutputDirectoryFormat()); err != nil {
 			return nil, err
@@ -306,7 +330,7 @@
 		if err != nil {
 			return err
 		}
-		result.OutputSymlinks = append(result.OutputSymlinks, &repb.OutputSymlink{Path: o, Target: target})
+		result.OutputSymlinks = append(result.OutputSymlinks, &repb.OutputSymlink{Path: o, Target: target, NodeProperties: r.of(info)})
 	case info.IsDir():
 		tree := new(repb.Tree)
 		if tree.Root, err = r.directory(ctx, at, tree); err != nil {
@@ -334,7 +358,7 @@
 		if err != nil {
 			return err
 		}
-		result.OutputFiles = append(result.OutputFiles, &repb.OutputFile{Path: o, Digest: d, IsExecutable: info.Mode()&0o111 != 0})
+		result.OutputFiles = append(result.OutputFiles, &repb.OutputFile{Path: o, Digest: d, IsExecutable: info.Mode()&0o111 != 0, NodeProperties: r.of(info)})
 	}
 	return nil
 }
@@ -362,7 +386,11 @@
 	if err != nil {
 		return nil, err
 	}
-	d := new(repb.Directory)
+	own, err := os.Lstat(at)
+	if err != nil {
+		return nil, err
+	}
+	d := &repb.Directory{NodeProperties: r.of(own)}
 	for _, e := range entries {
 		p := filepath.Join(at, e.Name())
 		info, err := e.Info()
@@ -375,7 +403,7 @@
 			if err != nil {
 				return nil, err
 			}
-			d.Symlinks = append(d.Symlinks, &repb.SymlinkNode{Name: e.Name(), Target: target})
+			d.Symlinks = append(d.Symlinks, &repb.SymlinkNode{Name: e.Name(), Target: target, NodeProperties: r.of(info)})
 		case e.IsDir():
 			child, err := r.directory(ctx, p, tree)
 			if err != nil {
@@ -385,7 +413,7 @@
 			if err != nil {
 				return nil, err
 			}
-			of := content.Of(raw)
+			of := r.function.Of(raw)
 			tree.Children = append(tree.Children, child)
 			d.Directories = append(d.Directories, &repb.DirectoryNode{Name: e.Name(), Digest: &repb.Digest{Hash: of.Hash, SizeBytes: of.Size}})
 		case info.Mode().IsRegular():
@@ -393,7 +421,7 @@
 			if err != nil {
 				return nil, err
 			}
-			d.Files = append(d.Files, &repb.FileNode{Name: e.Name(), Digest: sum, IsExecutable: info.Mode()&0o111 != 0})
+			d.Files = append(d.Files, &repb.FileNode{Name: e.Name(), Digest: sum, IsExecutable: info.Mode()&0o111 != 0, NodeProperties: r.of(info)})
 		}
 	}
 	return d, nil
