--- a/internal/gate/kills_test.go
+++ b/internal/gate/kills_test.go
@@ -21,6 +21,7 @@
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
+	"micaspindle/internal/admission"
 	"micaspindle/internal/buildtool"
 	"micaspindle/internal/client"
 	"micaspindle/internal/content"
@@ -28,8 +29,10 @@
 )
 
 // killed is some gates that are killed and started again under a build, before a
-// stand-in of the cluster whose machines lose tasks, run them again, and tell late
-// what the lost ones came to. No two attempts make the same output.
+// stand-in of the cluster: its controllers are killed too, now and then all at once,
+// with answers lost to what they had accepted; its machines lose tasks, run them
+// again, and tell late, or never, what the lost ones came to. No two attempts make the
+// same output.
 type killed struct {
 	t      *testing.T
 	ctx    context.Context
@@ -41,6 +44,11 @@
 	stores []*content.Store
 	jobs   map[string]*killedJob
 	runs   int
+	// down is until when no controller answers; downs counts these times, lost the
+	// answers that were lost, gone the machines that never told.
+	down              time.Time
+	downs, lost, gone int
+	sweeps            []context.CancelFunc
 	conn   *grpc.ClientConn // of machines, to any gate
 	wg     sync.WaitGroup
 }
@@ -54,12 +62,17 @@
 }
 
 // Submit runs each task of a job that is not known yet.
-func (k *killed) Submit(_ context.Context, _ string, s *protocol.Submission) error {
-	if k.random(10) == 0 {
+func (k *killed) Submit(_ context.Context, _ string, s *protocol.Submission) (err error) {
+	away, lost := k.away(), k.random(8) == 0
+	if away {
 		return &client.Refusal{Status: 503}
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if lost {
+		k.lost++
+		defer func() { err = &client.Refusal{Status: 503} }()
+	}
 	if k.jobs[*s.ID] != nil {
 		return nil
 	}
@@ -70,8 +83,23 @@
 	return nil
 }
 
+// away says whether no controller answers, and now and then kills them all.
+func (k *killed) away() bool {
+	kill, down := k.random(12) == 0, time.Duration(50+k.random(350))*time.Millisecond
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now := time.Now(); kill && now.After(k.down) {
+		k.down = now.Add(down)
+		k.downs++
+	}
+	return time.Now().Before(k.down)
+}
+
 // Status tells how a job stands.
 func (k *killed) Status(_ context.Context, _, job string) (protocol.JobStatus, error) {
+	if k.away() {
+		return protocol.JobStatus{}, &client.Refusal{Status: 503}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	j := k.jobs[job]
@@ -92,7 +120,13 @@
 	again := k.random(4) == 0
 	if again {
 		late := time.Duration(k.random(120)) * time.Millisecond
-		k.wg.Go(func() { k.attempt(image, index, "lost", late) })
+		if k.random(3) > 0 {
+			k.wg.Go(func() { k.attempt(image, index, "lost", late) })
+		} else {
+			k.mu.Lock()
+			k.gone++
+			k.mu.Unlock()
+		}
 		time.Sleep(time.Duration(k.random(60)) * time.Millisecond)
 	}
 	k.attempt(image, index, "kept", 0)
@@ -193,12 +227,17 @@
 	}
 	config := oneTeam
 	config.MaxBlob, config.Class, config.Self = roomy.MaxBlob, "build", k.addrs[i]
+	config.Shares.Ahead = admission.Ahead{Least: 16, For: 100 * time.Millisecond}
 	believe := func(context.Context) bool { return true }
 	config.IsPeer, config.IsWorker = believe, believe
 	quiet := slog.New(slog.DiscardHandler)
 	g := New(config, store, results, everyone{}, NewPeers(2, others, quiet), k, quiet)
 	server := g.Server(grpc.WaitForHandlers(true)) // a process leaves no calls behind
+	sweep, cancel := context.WithCancel(k.ctx)
+	over := make(chan struct{})
+	go func() { defer close(over); g.Sweep(sweep, time.Minute) }()
 	k.mu.Lock()
+	k.sweeps[i] = func() { cancel(); <-over }
 	k.live[i], k.stores[i] = server, store
 	k.mu.Unlock()
 	go func() { _ = server.Serve(l) }()
@@ -206,6 +245,7 @@
 
 func (k *killed) kill(i int) {
 	k.live[i].Stop()
+	k.sweeps[i]()
 	_ = k.stores[i].Close()
 }
 
@@ -232,7 +272,7 @@
 func throughKills(t *testing.T, seed uint64) {
 	ctx, cancel := context.WithTimeout(context.Background(), 60*time.Second)
 	defer cancel()
-	k := &killed{t: t, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]*killedJob{}, live: make([]*grpc.Server, 3), stores: make([]*content.Store, 3)}
+	k := &killed{t: t, ctx: ctx, rng: rand.New(rand.NewPCG(seed, 3)), jobs: map[string]*killedJob{}, live: make([]*grpc.Server, 3), stores: make([]*content.Store, 3), sweeps: make([]context.CancelFunc, 3)}
 	for i := range 3 {
 		// An address of its own, so that no connection is given the port of a gate
 		// that is down.
@@ -368,5 +408,6 @@
 			t.Errorf("seed %d: %d of %d actions come from the cache of gate %d", seed, r.Cached, len(nodes), i)
 		}
 	}
-	t.Logf("%d kills of gates, %d actions of %d clients, %d runs", kills, len(told), len(reports), k.runs)
+	t.Logf("%d kills of gates, %d of all controllers, %d answers of theirs lost, %d machines gone for good, %d actions of %d clients, %d runs",
+		kills, k.downs, k.lost, k.gone, len(told), len(reports), k.runs)
 }
