--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -14,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/protocol/peer"
 	"micaspindle/internal/settings"
@@ -65,7 +66,7 @@
 	leader   leaderState
 	started  time.Time
 	bias     map[string]*classBias
-	scarce   scarcity
+	scarce   fit.Scarcity
 	scarceAt time.Time
 	said     said
 	policy   policyRecords
--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -159,7 +159,7 @@
 	if d := c.partSummary(p, now).Demands; len(d) > 0 {
 		t.Errorf("demands %v", d)
 	}
-	if s := c.scarcity(now); s.contested("big", 2) {
+	if s := c.scarcity(now); s.Contested("big", 2) {
 		t.Error("machines are kept for it")
 	}
 	c.setFinal("job-1", protocol.StatusDone)
--- /dev/null
+++ b/internal/coordination/fleet/fleet.go
@@ -0,0 +1,400 @@
+// Package fleet decides, for the leader, on the machines of all parts: which are
+// adopted, given up, moved, rented and returned. It is a pure function of a view;
+// the leader gathers that, and does what the plan says.
+package fleet
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"micaspindle/internal/coordination/fit"
+	"micaspindle/internal/protocol"
+)
+
+// View is all that the decisions rest on.
+type View struct {
+	Now time.Time
+	// Parts are by their numbers.
+	Parts []Part
+	// Machines are those on record, by name.
+	Machines []Machine
+	Catalog  []protocol.MachineType
+	Scarce   fit.Scarcity
+	// Refused says until when what the cloud refused is not asked for.
+	Refused map[fit.Kind]time.Time
+	// Renting are the parts for which a request is under way.
+	Renting map[int]bool
+	Strays  []Stray
+	// IdleSpot and IdleOrdinary are how long machines may stand idle.
+	IdleSpot, IdleOrdinary time.Duration
+}
+
+// Part is what its owner last said.
+type Part struct {
+	// Known: it has said something lately.
+	Known bool
+	// Demands are what waits and finds no room, in the order of service.
+	Demands []Demand
+}
+
+// Demand is waiting tasks that are alike.
+type Demand struct {
+	Wish  fit.Wish
+	Need  fit.Amounts
+	Count int
+	// SlackS is how long until it should be done.
+	EstimateS, SlackS, WaitedS float64
+}
+
+// Machine is a machine on record.
+type Machine struct {
+	Name string
+	Part int
+	Kind fit.Kind
+	Type *protocol.MachineType // nil: not in the catalog
+	// Serves: it is neither lost nor faulty for all that the leader knows itself.
+	Serves bool
+	// What its part's owner says.
+	Idle, Lost, Faulty, NeverUp, Retiring bool
+	IdleS                                 float64
+	// Failed is what the cloud says.
+	Failed bool
+	// When it came on record, was last moved, and was last sent away.
+	Recorded, Moved, Leaving time.Time
+}
+
+// Stray is a machine without a record.
+type Stray struct {
+	Name string
+	Kind fit.Kind
+	// Tried is when it was last to be adopted.
+	Tried time.Time
+}
+
+// Plan is what is to be done.
+type Plan struct {
+	Adopt []Adoption
+	// Later are strays that may be the answer to a rental under way.
+	Later   []string
+	GiveUp  []Departure
+	Moves   []Move
+	Rentals []Rental
+	Returns []string
+}
+
+// Adoption gives a stray to a part.
+type Adoption struct {
+	Name string
+	Part int
+}
+
+// Departure gives a machine up.
+type Departure struct{ Name, Reason string }
+
+// Move moves an idle machine between parts.
+type Move struct {
+	Name     string
+	From, To int
+}
+
+// Rental is a request to the cloud.
+type Rental struct {
+	Kind  fit.Kind
+	Part  int
+	Count int
+}
+
+const (
+	// moveRest is how long a machine that was moved is left alone, departRest one
+	// that was sent away.
+	moveRest   = 3 * time.Second
+	departRest = 5 * time.Second
+	// paid is how long a machine is kept in any case: its first minute is paid.
+	paid = 55 * time.Second
+	// spareSlackS is how much time a task must have left, beyond its run and the
+	// boot, to wait for spot capacity instead of paying the ordinary price.
+	spareSlackS = 10.0
+)
+
+// round is one decision under way. Demands shrink as they are served.
+type round struct {
+	View
+	demands [][]Demand
+	idle    [][]int // idle machines that may be moved, by part
+	plan    Plan
+	moved   map[int]bool
+	leaving map[int]bool
+}
+
+// Decide makes a plan.
+func Decide(v View) Plan {
+	r := &round{View: v, demands: make([][]Demand, len(v.Parts)), idle: make([][]int, len(v.Parts)), moved: map[int]bool{}, leaving: map[int]bool{}}
+	for i, p := range v.Parts {
+		r.demands[i] = slices.Clone(p.Demands)
+	}
+	r.adopt()
+	r.giveUp()
+	r.move()
+	r.rent()
+	r.giveBack()
+	return r.plan
+}
+
+// adopt gives strays to the parts that hold least, one with waiting work first.
+func (r *round) adopt() {
+	held := make([]int, len(r.Parts))
+	for i := range r.Machines {
+		held[r.Machines[i].Part]++
+	}
+	for _, s := range r.Strays {
+		if r.Now.Sub(s.Tried) < departRest {
+			continue
+		}
+		if len(r.Renting) > 0 && r.Now.Sub(s.Tried) > time.Hour {
+			r.plan.Later = append(r.plan.Later, s.Name)
+			continue
+		}
+		best := slices.Index(held, slices.Min(held))
+		for i := range r.Parts {
+			if len(r.demands[i]) > 0 && held[i] == held[best] {
+				best = i
+			}
+		}
+		held[best]++
+		r.plan.Adopt = append(r.plan.Adopt, Adoption{s.Name, best})
+	}
+}
+
+// giveUp ends machines that are lost, failed, faulty or never came up.
+func (r *round) giveUp() {
+	for i := range r.Machines {
+		m := &r.Machines[i]
+		reason := ""
+		switch {
+		case m.Lost:
+			reason = "lost"
+		case m.Faulty && m.Idle:
+			reason = "faulty"
+		case m.Failed:
+			reason = "failed"
+		case m.NeverUp:
+			reason = "never came up"
+		}
+		if reason == "" || r.Now.Sub(m.Leaving) < departRest {
+			continue
+		}
+		r.leaving[i] = true
+		r.plan.GiveUp = append(r.plan.GiveUp, Departure{m.Name, reason})
+	}
+}
+
+// wants says whether a part has waiting work for a machine of its own.
+func (r *round) wants(part int, m *Machine) bool {
+	return slices.ContainsFunc(r.demands[part], func(d Demand) bool {
+		return d.Count > 0 && d.Wish.Allows(m.Kind) && fit.Size(m.Type).Slots(d.Need, d.Count) > 0
+	})
+}
+
+// move moves idle machines from parts without fitting work to the part whose tasks
+// have waited longest.
+func (r *round) move() {
+	for i := range r.Machines {
+		m := &r.Machines[i]
+		if m.Type != nil && m.Idle && !m.Retiring && !m.Faulty && !m.Lost && r.Now.Sub(m.Moved) >= moveRest {
+			r.idle[m.Part] = append(r.idle[m.Part], i)
+		}
+	}
+	var needy []int
+	oldest := make([]float64, len(r.Parts))
+	for i := range r.Parts {
+		if len(r.demands[i]) > 0 {
+			needy = append(needy, i)
+		}
+		for _, d := range r.demands[i] {
+			oldest[i] = max(oldest[i], d.WaitedS)
+		}
+	}
+	slices.SortStableFunc(needy, func(a, b int) int { return cmp.Compare(oldest[b], oldest[a]) })
+	for _, to := range needy {
+		for di := range r.demands[to] {
+			d := &r.demands[to][di]
+			for from := range r.Parts {
+				if from != to && r.Parts[from].Known {
+					r.moveFrom(from, to, d)
+				}
+			}
+		}
+	}
+}
+
+func (r *round) moveFrom(from, to int, d *Demand) {
+	r.idle[from] = slices.DeleteFunc(r.idle[from], func(i int) bool {
+		m := &r.Machines[i]
+		if d.Count <= 0 || !d.Wish.Allows(m.Kind) {
+			return false
+		}
+		n := fit.Size(m.Type).Slots(d.Need, d.Count)
+		if n == 0 || r.wants(from, m) {
+			return false
+		}
+		d.Count -= n
+		r.moved[i] = true
+		r.plan.Moves = append(r.plan.Moves, Move{m.Name, from, to})
+		return true
+	})
+}
+
+// rent asks the cloud for machines for what waits and finds no room.
+func (r *round) rent() {
+	for part := range r.Parts {
+		if !r.Parts[part].Known || r.Renting[part] {
+			continue // the summary does not know yet what a request under way brings
+		}
+		have := r.fleet(part)
+		wanted := map[fit.Kind]int{}
+		var kinds []fit.Kind
+		ahead := 0.0
+		for di := range r.demands[part] {
+			d := &r.demands[part][di]
+			count := float64(d.Count)
+			for d.Count > 0 {
+				wait := d.EstimateS * (ahead + float64(d.Count)) / max(1, r.room(d, have))
+				k, n := r.cheapest(d, wait)
+				if n == 0 {
+					break
+				}
+				if wanted[k] == 0 {
+					kinds = append(kinds, k)
+				}
+				wanted[k]++
+				have[k]++
+				r.fill(k, r.demands[part])
+			}
+			ahead += count
+		}
+		for _, k := range kinds {
+			r.plan.Rentals = append(r.plan.Rentals, Rental{k, part, wanted[k]})
+		}
+	}
+}
+
+// fleet counts a part's machines by what the cloud calls them.
+func (r *round) fleet(part int) map[fit.Kind]int {
+	have := map[fit.Kind]int{}
+	for i := range r.Machines {
+		if m := &r.Machines[i]; m.Part == part && m.Type != nil && m.Serves {
+			have[m.Kind]++
+		}
+	}
+	return have
+}
+
+func (r *round) typ(name string) *protocol.MachineType {
+	for i := range r.Catalog {
+		if r.Catalog[i].Name == name {
+			return &r.Catalog[i]
+		}
+	}
+	return nil
+}
+
+// room is how many tasks like a demand's a fleet runs at a time, on machines that
+// no choosier work needs.
+func (r *round) room(d *Demand, have map[fit.Kind]int) float64 {
+	sum, breadth := 0, r.breadth(d)
+	for k, n := range have {
+		if t := r.typ(k.Type); t != nil && !r.Scarce.Contested(k.Type, breadth) && d.Wish.Allows(k) {
+			sum += n * fit.Size(t).Slots(d.Need, fit.Many)
+		}
+	}
+	return float64(sum)
+}
+
+// breadth is how many machine types a demand's tasks fit.
+func (r *round) breadth(d *Demand) int {
+	n := 0
+	for i := range r.Catalog {
+		if fit.OfType(d.Wish, d.Need, &r.Catalog[i]) {
+			n++
+		}
+	}
+	return n
+}
+
+// cheapest picks what serves a demand at the least price for each of its tasks, and
+// how many of them it holds. Types that work of fewer choices needs come last.
+// waitS is how long the demand's last task would wait for the machines that there
+// are.
+func (r *round) cheapest(d *Demand, waitS float64) (fit.Kind, int) {
+	var best fit.Kind
+	held, least, bestContested := 0, math.Inf(1), true
+	breadth := r.breadth(d)
+	for i := range r.Catalog {
+		t := &r.Catalog[i]
+		n := fit.Size(t).Slots(d.Need, d.Count)
+		if n == 0 {
+			continue
+		}
+		zones := slices.Clone(t.ZonesOffered)
+		slices.Sort(zones)
+		for _, zone := range zones {
+			for _, spot := range []bool{true, false} {
+				k := fit.Kind{Type: t.Name, Zone: zone, Spot: spot}
+				if !d.Wish.Allows(k) || r.Now.Before(r.Refused[k]) {
+					continue
+				}
+				if !spot && d.Wish.Spot && d.SlackS-d.EstimateS-t.BootS-waitS > spareSlackS {
+					continue // there is time to wait for a spot machine
+				}
+				price := t.Price
+				if spot {
+					price = t.SpotPrice
+				}
+				contested := r.Scarce.Contested(t.Name, breadth)
+				cost := price / float64(n)
+				if contested != bestContested && !contested || contested == bestContested && cost < least-fit.Epsilon {
+					best, held, least, bestContested = k, n, cost, contested
+				}
+			}
+		}
+	}
+	return best, held
+}
+
+// fill takes from the demands what a machine of a kind would run.
+func (r *round) fill(k fit.Kind, demands []Demand) {
+	room := fit.Size(r.typ(k.Type))
+	for i := range demands {
+		d := &demands[i]
+		if d.Wish.Allows(k) {
+			n := room.Slots(d.Need, d.Count)
+			d.Count -= n
+			room = room.Plus(d.Need, -float64(n))
+		}
+	}
+}
+
+// giveBack returns machines that have stood idle and that nobody wants, unless
+// their first minute is not over.
+func (r *round) giveBack() {
+	for i := range r.Machines {
+		m := &r.Machines[i]
+		limit := r.IdleOrdinary
+		if m.Kind.Spot {
+			limit = r.IdleSpot
+		}
+		if m.Type == nil || !m.Idle || r.moved[i] || m.IdleS < limit.Seconds() || r.Now.Sub(m.Recorded) < paid ||
+			r.Now.Sub(m.Moved) < moveRest || r.leaving[i] || r.Now.Sub(m.Leaving) < departRest {
+			continue
+		}
+		needed := false
+		for p := range r.Parts {
+			needed = needed || !r.Parts[p].Known || r.wants(p, m)
+		}
+		if !needed {
+			r.plan.Returns = append(r.plan.Returns, m.Name)
+		}
+	}
+}
--- a/internal/coordination/lateness.go
+++ b/internal/coordination/lateness.go
@@ -5,137 +5,96 @@
 	"slices"
 	"time"
 
+	"micaspindle/internal/coordination/fit"
+	"micaspindle/internal/coordination/order"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/settings"
 )
 
-// contest is work that competes for the same machines: one urgency, and the
-// same set of machine types.
-type contest struct {
-	urgency protocol.Urgency
-	types   uint64
+// inOrder lists a part's jobs in the order in which they are served. The list is
+// kept for a moment, so that events do not each sort all jobs again.
+func (c *Controller) inOrder(p *part) []*job {
+	now := time.Now()
+	if p.order != nil && now.Sub(p.orderedAt) < orderFor {
+		p.order = slices.DeleteFunc(p.order, func(j *job) bool { return !j.owned || c.jobs[j.spec.ID] != j })
+		return slices.Clone(p.order)
+	}
+	list, views := []*job{}, []order.Job{}
+	for _, j := range c.jobs {
+		if j.part == p.index && j.owned && !j.blocked {
+			list, views = append(list, j), append(views, c.forOrder(j))
+		}
+	}
+	c.fillSlots(p, list, views)
+	p.order, p.orderedAt = make([]*job, len(list)), now
+	for i, at := range order.Of(views, now) {
+		p.order[i] = list[at]
+	}
+	return slices.Clone(p.order)
 }
 
-// starved is how many times its deadline a job may wait before it is served
-// as if it could be in time, so that nothing starves.
-const starved = 5
+// orderFor is how long an order of jobs is good for.
+const orderFor = 200 * time.Millisecond
 
-// grade says which waiting jobs will be late whatever is done: 0 for those
-// that can be in time, 1 for those that can within 1.5 times their deadline, 2
-// for the rest. By deadline alone, a backlog would make every job late; the
-// largest jobs go last instead, which keeps most jobs in time (the rule of
-// Moore and Hodgson, with the part's machines as one fast machine). list is in
-// order of deadlines.
-func (c *Controller) grade(p *part, list []*job, now time.Time) map[*job]int {
-	late := map[*job]int{}
-	contests := map[contest][]*job{}
-	for _, j := range list {
-		if span, ok := c.span(j); ok && len(j.queue) > 0 && now.Sub(j.received).Seconds() < starved*span {
-			k := contest{j.urgency(), c.typeSet(j.spec)}
-			contests[k] = append(contests[k], j)
-		}
-	}
-	fleet := map[string]int{}
+// forOrder is what the order of jobs depends on.
+func (c *Controller) forOrder(j *job) order.Job {
+	deadline, _ := j.deadline()
+	return order.Job{ID: j.spec.ID, Urgency: j.urgency(), Received: j.received, Due: j.due(), Deadline: deadline,
+		EstimateS: c.estimate(j.spec), Waiting: len(j.queue), Team: j.team, Types: c.typeSet(j.spec), AtOnce: c.atOnce(j)}
+}
+
+// fillSlots works out how many tasks of each job with a deadline the part's machines
+// run at a time; jobs that are alike share the answer.
+func (c *Controller) fillSlots(p *part, list []*job, views []order.Job) {
+	machines := map[string]int{}
 	for _, m := range c.machines {
 		if m.rec.Part == p.index && m.typ != nil && !m.lost && !m.faulty {
-			fleet[m.typ.Name]++
+			machines[m.typ.Name]++
 		}
 	}
-	for _, jobs := range contests {
-		for _, times := range []float64{1, 1.5} {
-			jobs = c.dropLate(fleet, jobs, times, now)
-			for _, j := range jobs {
-				late[j]++
+	type like struct {
+		need  fit.Amounts
+		types uint64
+	}
+	known := map[like]float64{}
+	for i, j := range list {
+		v := &views[i]
+		if v.Deadline.IsZero() || v.Waiting == 0 {
+			continue
+		}
+		k := like{needOf(j.spec), v.Types}
+		slots, ok := known[k]
+		if !ok {
+			slots = c.slotsOf(machines, j.spec)
+			if len(c.catalog) <= 64 {
+				known[k] = slots
 			}
 		}
+		v.Slots = slots
 	}
-	return late
 }
 
-// span is how many seconds a job has from its submission until it should be
-// done, at least its own run: a job that needs it may come when it is too late.
-func (c *Controller) span(j *job) (float64, bool) {
-	due, ok := j.deadline()
-	return max(due.Sub(j.received).Seconds(), c.estimate(j.spec)), ok
+// due is when a job should be done; one without a deadline queues as if it
+// had a long one.
+func (j *job) due() time.Time {
+	if at, ok := j.deadline(); ok {
+		return at
+	}
+	return j.since().Add(time.Hour)
 }
 
 // runTime predicts how long a job takes from its first start to its end.
 func (c *Controller) runTime(j *job) time.Duration {
-	rounds := max(1, math.Ceil(float64(j.spec.Tasks)/c.atOnce(j)))
-	return settings.Seconds(c.estimate(j.spec) * rounds)
-}
-
-// backlog is work that queues for one thing, in seconds of all of it.
-type backlog struct {
-	jobs  []*job
-	work  []float64
-	total float64
-}
-
-func (b *backlog) add(j *job, work float64) {
-	b.jobs, b.work, b.total = append(b.jobs, j), append(b.work, work), b.total+work
-}
-
-func (b *backlog) largest() *job { return b.jobs[slices.Index(b.work, slices.Max(b.work))] }
-
-func (b *backlog) remove(j *job) {
-	if i := slices.Index(b.jobs, j); i >= 0 {
-		b.total -= b.work[i]
-		b.jobs, b.work = slices.Delete(b.jobs, i, i+1), slices.Delete(b.work, i, i+1)
-	}
-}
-
-// dropLate returns the jobs that can't be done within times their deadlines.
-// They queue for machines, and for what their team's limit leaves.
-func (c *Controller) dropLate(fleet map[string]int, jobs []*job, times float64, now time.Time) []*job {
-	var dropped []*job
-	machines, teams := &backlog{}, map[int]*backlog{}
-	for _, j := range jobs {
-		span, _ := c.span(j)
-		left := span*times - now.Sub(j.received).Seconds()
-		estimate := c.estimate(j.spec)
-		alone := estimate * c.rounds(j)
-		if alone > left {
-			dropped = append(dropped, j)
-			continue
-		}
-		team := teams[j.team]
-		if team == nil {
-			team = &backlog{}
-			teams[j.team] = team
-		}
-		// The last task starts before all work is done.
-		for _, queue := range []struct {
-			b     *backlog
-			slots float64
-		}{{machines, c.slotsOf(fleet, j.spec)}, {team, c.atOnce(j)}} {
-			if math.IsInf(queue.slots, 1) || queue.slots == 0 {
-				continue
-			}
-			work := estimate * float64(len(j.queue)) / queue.slots
-			queue.b.add(j, work)
-			if queue.b.total-work+max(work, alone) > left {
-				late := queue.b.largest()
-				dropped = append(dropped, late)
-				machines.remove(late)
-				teams[late.team].remove(late)
-				if late == j {
-					break
-				}
-			}
-		}
-	}
-	return dropped
+	return settings.Seconds(c.estimate(j.spec) * order.Rounds(j.spec.Tasks, c.atOnce(j)))
 }
 
 // slotsOf is how many tasks of a job a fleet, counted by type, runs at a time.
-func (c *Controller) slotsOf(fleet map[string]int, s *protocol.JobSpec) float64 {
+func (c *Controller) slotsOf(machines map[string]int, s *protocol.JobSpec) float64 {
 	sum := 0.0
 	for i := range c.catalog {
 		t := &c.catalog[i]
-		if n := fleet[t.Name]; n > 0 && typeFits(s, t) {
-			each := slots([3]float64{s.CPUs, s.GPUs, s.MemGB}, [3]float64{t.CPUs, t.GPUs, t.MemGB}, manySlots)
-			sum += float64(n * each)
+		if n := machines[t.Name]; n > 0 && fit.Offered(wishOf(s), needOf(s), t) {
+			sum += float64(n * fit.Size(t).Slots(needOf(s), fit.Many))
 		}
 	}
 	return sum
@@ -147,22 +106,18 @@
 	if t.CPUsMax <= 0 || j.spec.CPUs <= 0 {
 		return math.Inf(1)
 	}
-	return max(1, math.Floor((t.CPUsMax+epsilon)/j.spec.CPUs))
-}
-
-// rounds is how many run times the waiting tasks of a job take one after the
-// other, since its team's limit lets only so many run at once.
-func (c *Controller) rounds(j *job) float64 {
-	return max(1, math.Ceil(float64(len(j.queue))/c.atOnce(j)))
+	return max(1, math.Floor((t.CPUsMax+fit.Epsilon)/j.spec.CPUs))
 }
 
 // typeSet is the set of machine types that a job's tasks fit, as bits.
 func (c *Controller) typeSet(s *protocol.JobSpec) uint64 {
-	set := uint64(0)
-	for i := range min(len(c.catalog), 64) {
-		if typeFits(s, &c.catalog[i]) {
-			set |= 1 << i
-		}
-	}
-	return set
+	return fit.Types(wishOf(s), needOf(s), c.catalog)
+}
+
+func needOf(s *protocol.JobSpec) fit.Amounts {
+	return fit.Amounts{CPUs: s.CPUs, GPUs: s.GPUs, MemGB: s.MemGB}
+}
+
+func wishOf(s *protocol.JobSpec) fit.Wish {
+	return fit.Wish{Types: s.Types, Zone: s.Zone, Spot: s.Spot}
 }
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/fit"
+	"micaspindle/internal/coordination/fleet"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/protocol/peer"
 	"micaspindle/internal/settings"
@@ -28,7 +31,7 @@
 	kick     chan struct{}
 	counter  int
 	renting  map[string]*rental
-	refused  map[offer]time.Time // capacity that was refused, until when
+	refused  map[fit.Kind]time.Time // capacity that was refused, until when
 	deleting map[string]time.Time
 	adopting map[string]time.Time
 	moved    map[string]time.Time
@@ -38,21 +41,15 @@
 	listed  map[string]protocol.ListedMachine
 }
 
-// offer is something that the cloud rents.
-type offer struct {
-	typ, zone string
-	spot      bool
-}
-
 // rental is a request under way.
 type rental struct {
-	offer offer
+	kind  fit.Kind
 	part  int
 	count int
 }
 
 func (l *leaderState) init() {
-	l.renting, l.refused = map[string]*rental{}, map[offer]time.Time{}
+	l.renting, l.refused = map[string]*rental{}, map[fit.Kind]time.Time{}
 	l.deleting, l.adopting = map[string]time.Time{}, map[string]time.Time{}
 	l.moved, l.settled = map[string]time.Time{}, map[int]time.Time{}
 	l.listed = map[string]protocol.ListedMachine{}
@@ -217,62 +214,120 @@
 	})
 }
 
-// view is what the leader knows of one part.
-type view struct {
-	part    int
-	owner   string
-	demands []*peer.Demand
-	states  map[string]*peer.MachineStatus
-}
-
 // settleTime is how long a new machine's record takes to show in what its
 // owner says.
 const settleTime = 300 * time.Millisecond
 
-func (c *Controller) views(now time.Time) []*view {
-	views := make([]*view, len(c.parts))
-	fill := func(owner string, sum *peer.Summary, heard time.Time) {
+// steer is one round of the leader: it gathers what is known, has the fleet's room
+// decide, and does what that says.
+func (c *Controller) steer(now time.Time) {
+	l := &c.leader
+	if !l.mine || len(c.catalog) == 0 || now.Sub(c.renewed) > c.op.ClaimTTL {
+		return
+	}
+	strays := c.strays(now)
+	plan := fleet.Decide(c.view(strays, now))
+	for _, a := range plan.Adopt {
+		rec := strays[a.Name]
+		rec.Part = a.Part
+		l.adopting[a.Name] = now
+		c.log.Info("machine adopted", "machine", a.Name, "type", rec.Type, "zone", rec.Zone, "part", rec.Part)
+		c.duty.Go(func() { c.recordMachines([]string{a.Name}, rec) })
+	}
+	for _, name := range plan.Later {
+		l.adopting[name] = now.Add(-3 * time.Second)
+	}
+	if len(plan.GiveUp) > 0 {
+		var names []string
+		for _, d := range plan.GiveUp {
+			l.deleting[d.Name] = now
+			names = append(names, d.Name)
+			c.log.Info("giving machine up", "machine", d.Name, "reason", d.Reason)
+		}
+		c.duty.Go(func() { c.deleteMachines(names) })
+	}
+	for _, m := range plan.Moves {
+		l.moved[m.Name] = now
+		c.log.Info("moving machine", "machine", m.Name, "from", m.From, "to", m.To)
+		c.askOwner(c.parts[m.From].owner, &peer.FleetRequest{Machine: m.Name, ToPart: uint32(m.To)}, func() {
+			c.do(func() { c.leader.settled[m.To] = time.Now() })
+		})
+	}
+	for _, r := range plan.Rentals {
+		c.startRental(r)
+	}
+	for _, name := range plan.Returns {
+		l.deleting[name] = now
+		m := c.machines[name]
+		c.log.Info("returning machine", "machine", name, "type", m.rec.Type, "part", m.rec.Part)
+		c.askOwner(c.parts[m.rec.Part].owner, &peer.FleetRequest{Machine: name, Retire: true}, func() { c.deleteMachines([]string{name}) })
+	}
+}
+
+// view is what the leader's decisions rest on.
+func (c *Controller) view(strays map[string]bookkeeping.Machine, now time.Time) fleet.View {
+	l := &c.leader
+	// An ordinary machine is too dear to wait as long as a spot one.
+	v := fleet.View{Now: now, Parts: make([]fleet.Part, len(c.parts)), Machines: make([]fleet.Machine, 0, len(c.machines)), Catalog: c.catalog,
+		Scarce: c.scarcity(now), Refused: l.refused, Renting: map[int]bool{}, IdleSpot: c.op.IdleReturn, IdleOrdinary: c.op.IdleReturn / 3}
+	for _, r := range l.renting {
+		v.Renting[r.part] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(strays)) {
+		v.Strays = append(v.Strays, fleet.Stray{Name: name, Kind: kindOf(strays[name]), Tried: l.adopting[name]})
+	}
+	states := map[string]*peer.MachineStatus{} // as the owner of the machine's part tells
+	take := func(owner string, sum *peer.Summary, heard time.Time) {
 		for _, ps := range sum.Parts {
 			i := int(ps.Part)
-			if i >= len(views) || c.parts[i].owner != owner {
+			if i >= len(v.Parts) || c.parts[i].owner != owner {
 				continue
 			}
-			v := &view{part: i, owner: owner, demands: ps.Demands, states: map[string]*peer.MachineStatus{}}
+			v.Parts[i].Known = true
 			for _, st := range ps.Machines {
-				v.states[st.Name] = st
+				if m := c.machines[st.Name]; m != nil && m.rec.Part == i {
+					states[st.Name] = st
+				}
 			}
-			if heard.Sub(c.leader.settled[i]) < settleTime {
-				v.demands = nil
+			if heard.Sub(l.settled[i]) >= settleTime {
+				v.Parts[i].Demands = demandsOf(ps.Demands)
 			}
-			views[i] = v
 		}
 	}
-	fill(c.set.Label, c.summary(now), now)
+	take(c.set.Label, c.summary(now), now)
 	for label, ps := range c.peers {
 		if ps.recent(now) {
-			fill(label, ps.summary, ps.heard)
+			take(label, ps.summary, ps.heard)
 		}
 	}
-	return views
+	for _, name := range slices.Sorted(maps.Keys(c.machines)) {
+		m := c.machines[name]
+		f := fleet.Machine{Name: name, Part: m.rec.Part, Kind: kindOf(m.rec), Type: m.typ, Serves: !m.lost && !m.faulty,
+			Failed: l.listed[name].State == protocol.MachineFailed, Recorded: m.recordedAt, Moved: l.moved[name], Leaving: l.deleting[name]}
+		if st := states[name]; st != nil {
+			f.Idle, f.Lost, f.Faulty, f.NeverUp, f.Retiring, f.IdleS = st.Idle, st.Lost, st.Faulty, st.NeverUp, st.Retiring, st.IdleS
+		}
+		v.Machines = append(v.Machines, f)
+	}
+	return v
 }
 
-// steer is one round of the leader: adopt, give up, move, rent, return.
-func (c *Controller) steer(now time.Time) {
-	l := &c.leader
-	if !l.mine || len(c.catalog) == 0 || now.Sub(c.renewed) > c.op.ClaimTTL {
-		return
+func kindOf(rec bookkeeping.Machine) fit.Kind {
+	return fit.Kind{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
+}
+
+func demandsOf(told []*peer.Demand) []fleet.Demand {
+	out := make([]fleet.Demand, len(told))
+	for i, d := range told {
+		out[i] = fleet.Demand{Wish: fit.Wish{Types: d.Types, Zone: d.Zone, Spot: d.Spot}, Need: fit.Amounts{CPUs: d.Cpus, GPUs: d.Gpus, MemGB: d.MemGb},
+			Count: int(d.Count), EstimateS: d.EstimateS, SlackS: d.SlackS, WaitedS: d.WaitedS}
 	}
-	views := c.views(now)
-	c.adoptStrays(views, now)
-	c.giveUp(views, now)
-	c.moveIdle(views, now)
-	c.rent(views, now)
-	c.returnIdle(views, now)
+	return out
 }
 
-// adoptStrays records machines that turn up without a record: those up at the
-// start, and those whose rental was answered to nobody.
-func (c *Controller) adoptStrays(views []*view, now time.Time) {
+// strays are machines that turn up without a record: those up at the start, and
+// those whose rental was answered to nobody.
+func (c *Controller) strays(now time.Time) map[string]bookkeeping.Machine {
 	strays := map[string]bookkeeping.Machine{}
 	take := func(u *peer.UnknownMachine) {
 		strays[u.Name] = bookkeeping.Machine{Addr: u.Addr, Type: u.Type, Zone: u.Zone, Spot: u.Spot}
@@ -293,43 +348,11 @@
 			strays[name] = bookkeeping.Machine{Addr: lm.Addr, Type: lm.Type, Zone: lm.Zone, Spot: lm.Spot}
 		}
 	}
-	held := make([]int, len(c.parts))
-	for _, m := range c.machines {
-		held[m.rec.Part]++
-	}
-	names := make([]string, 0, len(strays))
-	for name := range strays {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	maps.DeleteFunc(strays, func(name string, _ bookkeeping.Machine) bool {
 		_, deleted := c.gone[name]
-		if c.machines[name] != nil || deleted || now.Sub(c.leader.adopting[name]) < 5*time.Second {
-			continue
-		}
-		if len(c.leader.renting) > 0 && now.Sub(c.leader.adopting[name]) > time.Hour {
-			// It may be the answer to a rental that is still under way.
-			c.leader.adopting[name] = now.Add(-3 * time.Second)
-			continue
-		}
-		c.leader.adopting[name] = now
-		rec := strays[name]
-		best := 0
-		for i := range held {
-			if held[i] < held[best] {
-				best = i
-			}
-		}
-		for _, v := range views {
-			if v != nil && len(v.demands) > 0 && held[v.part] == held[best] {
-				best = v.part
-			}
-		}
-		rec.Part = best
-		held[best]++
-		c.log.Info("machine adopted", "machine", name, "type", rec.Type, "zone", rec.Zone, "part", rec.Part)
-		c.duty.Go(func() { c.recordMachines([]string{name}, rec) })
-	}
+		return deleted || c.machines[name] != nil
+	})
+	return strays
 }
 
 // recordMachines writes the assignment of new machines.
@@ -377,38 +400,6 @@
 	}
 }
 
-// giveUp deletes machines that are lost, failed, faulty or never came up.
-func (c *Controller) giveUp(views []*view, now time.Time) {
-	var names []string
-	for name, m := range c.machines {
-		reason := ""
-		var st *peer.MachineStatus
-		if v := views[m.rec.Part]; v != nil {
-			st = v.states[name]
-		}
-		lm, listed := c.leader.listed[name]
-		switch {
-		case st != nil && st.Lost:
-			reason = "lost"
-		case st != nil && st.Faulty && st.Idle:
-			reason = "faulty"
-		case listed && lm.State == protocol.MachineFailed:
-			reason = "failed"
-		case st != nil && st.NeverUp:
-			reason = "never came up"
-		}
-		if reason == "" || now.Sub(c.leader.deleting[name]) < 5*time.Second {
-			continue
-		}
-		c.leader.deleting[name] = now
-		c.log.Info("giving machine up", "machine", name, "reason", reason)
-		names = append(names, name)
-	}
-	if len(names) > 0 {
-		c.duty.Go(func() { c.deleteMachines(names) })
-	}
-}
-
 // deleteMachines deletes machines and then their records; the record goes only
 // after the cloud's answer, since its end proves all attempts over.
 func (c *Controller) deleteMachines(names []string) {
@@ -441,90 +432,6 @@
 	}
 }
 
-func demandAllows(d *peer.Demand, typ, zone string, spot bool) bool {
-	return (len(d.Types) == 0 || slices.Contains(d.Types, typ)) && (d.Zone == "" || d.Zone == zone) && (!spot || d.Spot)
-}
-
-// howMany is how many of a demand's tasks the given room holds.
-func howMany(d *peer.Demand, cpus, gpus, mem float64) int {
-	return slots([3]float64{d.Cpus, d.Gpus, d.MemGb}, [3]float64{cpus, gpus, mem}, int(d.Count))
-}
-
-// perMachine is how many tasks like a demand's an empty machine of a type runs
-// at a time, at most most.
-func perMachine(d *peer.Demand, t *protocol.MachineType, most int) int {
-	return slots([3]float64{d.Cpus, d.Gpus, d.MemGb}, [3]float64{t.CPUs, t.GPUs, t.MemGB}, most)
-}
-
-// moveIdle moves idle machines from parts without fitting work to the part
-// whose tasks have waited longest, one write for each move.
-func (c *Controller) moveIdle(views []*view, now time.Time) {
-	var needy []*view
-	for _, v := range views {
-		if v != nil && len(v.demands) > 0 {
-			needy = append(needy, v)
-		}
-	}
-	oldest := func(v *view) float64 {
-		w := 0.0
-		for _, d := range v.demands {
-			w = max(w, d.WaitedS)
-		}
-		return w
-	}
-	slices.SortFunc(needy, func(a, b *view) int {
-		switch wa, wb := oldest(a), oldest(b); {
-		case wa > wb:
-			return -1
-		case wa < wb:
-			return 1
-		}
-		return a.part - b.part
-	})
-	for _, to := range needy {
-		for _, d := range to.demands {
-			for _, from := range views {
-				if from == nil || from == to || d.Count == 0 {
-					continue
-				}
-				for name, st := range from.states {
-					m := c.machines[name]
-					if d.Count == 0 || m == nil || m.typ == nil || !st.Idle || st.Retiring || st.Faulty || st.Lost || m.rec.Part != from.part ||
-						now.Sub(c.leader.moved[name]) < 3*time.Second || !demandAllows(d, m.rec.Type, m.rec.Zone, m.rec.Spot) {
-						continue
-					}
-					n := howMany(d, m.typ.CPUs, m.typ.GPUs, m.typ.MemGB)
-					if n == 0 || wantsMachine(from, m) {
-						continue
-					}
-					d.Count -= uint32(n)
-					c.move(st, m, from, to.part, now)
-				}
-			}
-		}
-	}
-}
-
-// move asks the owner of an idle machine to hand it to another part.
-func (c *Controller) move(st *peer.MachineStatus, m *machine, from *view, to int, now time.Time) {
-	c.leader.moved[m.name] = now
-	st.Idle = false
-	c.log.Info("moving machine", "machine", m.name, "from", from.part, "to", to)
-	c.askOwner(from.owner, &peer.FleetRequest{Machine: m.name, ToPart: uint32(to)}, func() {
-		c.do(func() { c.leader.settled[to] = time.Now() })
-	})
-}
-
-// wantsMachine says whether a part has waiting work for a machine of its own.
-func wantsMachine(v *view, m *machine) bool {
-	for _, d := range v.demands {
-		if d.Count > 0 && demandAllows(d, m.rec.Type, m.rec.Zone, m.rec.Spot) && howMany(d, m.typ.CPUs, m.typ.GPUs, m.typ.MemGB) > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // askOwner asks a machine's owner for something; then runs if it agreed.
 func (c *Controller) askOwner(owner string, fr *peer.FleetRequest, then func()) {
 	c.duty.Go(func() {
@@ -563,39 +470,3 @@
 	}
 	return reply, proto.Unmarshal(resp.Body, reply)
 }
-
-// idleLimit is how long a machine may stand idle; an ordinary one is too dear
-// to wait as long as a spot one.
-func (c *Controller) idleLimit(m *machine) float64 {
-	if m.rec.Spot {
-		return c.op.IdleReturn.Seconds()
-	}
-	return c.op.IdleReturn.Seconds() / 3
-}
-
-// returnIdle returns machines that have stood idle, unless their first minute,
-// which is paid anyway, is not over.
-func (c *Controller) returnIdle(views []*view, now time.Time) {
-	for _, v := range views {
-		if v == nil {
-			continue
-		}
-		for name, st := range v.states {
-			m := c.machines[name]
-			if m == nil || m.typ == nil || !st.Idle || st.IdleS < c.idleLimit(m) || now.Sub(m.recordedAt) < 55*time.Second ||
-				now.Sub(c.leader.moved[name]) < 3*time.Second || now.Sub(c.leader.deleting[name]) < 5*time.Second {
-				continue
-			}
-			needed := false
-			for _, w := range views {
-				needed = needed || w == nil || wantsMachine(w, m)
-			}
-			if needed {
-				continue
-			}
-			c.leader.deleting[name] = now
-			c.log.Info("returning machine", "machine", name, "type", m.rec.Type, "idle_s", st.IdleS)
-			c.askOwner(v.owner, &peer.FleetRequest{Machine: name, Retire: true}, func() { c.deleteMachines([]string{name}) })
-		}
-	}
-}
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/coordination/procon"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/settings"
@@ -192,9 +193,9 @@
 	foreign      map[string]protocol.TaskReport
 	images       map[string]time.Time
 
-	usedCPUs, usedGPUs, usedMem float64
-	predicted                   *procon.Machine
-	predictedAt                 time.Time
+	used        fit.Amounts // by its live attempts
+	predicted   *procon.Machine
+	predictedAt time.Time
 }
 
 func attemptKey(task string, number uint64) string {
@@ -213,50 +214,20 @@
 // resources recounts what the attempts on the machine hold.
 func (m *machine) resources() {
 	m.predicted = nil
-	m.usedCPUs, m.usedGPUs, m.usedMem = 0, 0, 0
+	m.used = fit.Amounts{}
 	for _, a := range m.attempts {
 		if a.live() {
-			m.usedCPUs += a.job.spec.CPUs
-			m.usedGPUs += a.job.spec.GPUs
-			m.usedMem += a.job.spec.MemGB
+			m.used = m.used.Plus(needOf(a.job.spec), 1)
 		}
 	}
 }
 
-const epsilon = 1e-6
-
 func (m *machine) fits(s *protocol.JobSpec) bool {
-	return m.typ != nil && s.CPUs <= m.typ.CPUs-m.usedCPUs+epsilon &&
-		s.GPUs <= m.typ.GPUs-m.usedGPUs+epsilon && s.MemGB <= m.typ.MemGB-m.usedMem+epsilon
-}
-
-// allowed checks what the worker does not: type, zone and kind.
-func allowed(s *protocol.JobSpec, typeName, zone string, spot bool) bool {
-	return (len(s.Types) == 0 || slices.Contains(s.Types, typeName)) &&
-		(s.Zone == "" || s.Zone == zone) && (!spot || s.Spot)
+	return m.typ != nil && m.free().Holds(needOf(s))
 }
 
-// manySlots bounds what a machine is taken to hold of tasks that need nothing.
-const manySlots = 1000
-
-// slots is how many tasks with the given needs (CPUs, GPUs, memory) a room
-// holds, at most most.
-func slots(need, room [3]float64, most int) int {
-	for i, n := range need {
-		if n > 0 {
-			most = min(most, int((room[i]+epsilon)/n))
-		}
-	}
-	return max(most, 0)
-}
-
-// typeFits says whether a task fits an empty machine of the type, in a zone
-// where the type is offered.
-func typeFits(s *protocol.JobSpec, t *protocol.MachineType) bool {
-	return (len(s.Types) == 0 || slices.Contains(s.Types, t.Name)) &&
-		(s.Zone == "" || len(t.ZonesOffered) == 0 || slices.Contains(t.ZonesOffered, s.Zone)) &&
-		s.CPUs <= t.CPUs+epsilon && s.GPUs <= t.GPUs+epsilon && s.MemGB <= t.MemGB+epsilon
-}
+// free is the room on a machine whose type is known.
+func (m *machine) free() fit.Amounts { return fit.Size(m.typ).Plus(m.used, -1) }
 
 // part is a share of the teams, with its owner.
 type part struct {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/identity"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/protocol/peer"
@@ -134,9 +135,8 @@
 
 func (c *Controller) partSummary(p *part, now time.Time) *peer.PartSummary {
 	ps := &peer.PartSummary{Part: uint32(p.index)}
-	type room struct{ cpus, gpus, mem float64 }
 	var coming []*machine
-	left := map[*machine]*room{}
+	left := map[*machine]fit.Amounts{}
 	for _, m := range c.machines {
 		if m.rec.Part != p.index {
 			continue
@@ -154,7 +154,7 @@
 		if m.typ != nil && !m.lost && !m.faulty && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
 			(m.age(now) < usualBoot(m.typ) || now.Sub(m.ownedSince) < c.reportS+time.Second) {
 			coming = append(coming, m)
-			left[m] = &room{m.typ.CPUs - m.usedCPUs, m.typ.GPUs - m.usedGPUs, m.typ.MemGB - m.usedMem}
+			left[m] = m.free()
 		}
 	}
 	claimed := make([]quota, len(p.usage))
@@ -167,20 +167,18 @@
 		// Jobs of a team share what its limit leaves.
 		team, own := c.set.Params.Teams[j.team], &claimed[j.team]
 		if team.CPUsMax > 0 && s.CPUs > 0 {
-			n = min(n, int((team.CPUsMax-p.usage[j.team].cpus-own.cpus+epsilon)/s.CPUs))
+			n = min(n, int((team.CPUsMax-p.usage[j.team].cpus-own.cpus+fit.Epsilon)/s.CPUs))
 		}
 		if team.GPUsMax > 0 && s.GPUs > 0 {
-			n = min(n, int((team.GPUsMax-p.usage[j.team].gpus-own.gpus+epsilon)/s.GPUs))
+			n = min(n, int((team.GPUsMax-p.usage[j.team].gpus-own.gpus+fit.Epsilon)/s.GPUs))
 		}
 		if n <= 0 {
 			continue
 		}
 		own.add(s, float64(n))
 		for _, m := range coming {
-			r := left[m]
-			for n > 0 && allowed(s, m.rec.Type, m.rec.Zone, m.rec.Spot) &&
-				s.CPUs <= r.cpus+epsilon && s.GPUs <= r.gpus+epsilon && s.MemGB <= r.mem+epsilon {
-				r.cpus, r.gpus, r.mem = r.cpus-s.CPUs, r.gpus-s.GPUs, r.mem-s.MemGB
+			for n > 0 && wishOf(s).Allows(kindOf(m.rec)) && left[m].Holds(needOf(s)) {
+				left[m] = left[m].Plus(needOf(s), -1)
 				n--
 			}
 		}
--- a/internal/coordination/plans_test.go
+++ b/internal/coordination/plans_test.go
@@ -170,7 +170,7 @@
 	c.steer(now)
 	var fleet []string
 	for _, r := range c.leader.renting {
-		fleet = append(fleet, fmt.Sprintf("rent %d %s %s %v for %d", r.count, r.offer.typ, r.offer.zone, r.offer.spot, r.part))
+		fleet = append(fleet, fmt.Sprintf("rent %d %s %s %v for %d", r.count, r.kind.Type, r.kind.Zone, r.kind.Spot, r.part))
 	}
 	moved := map[int]int{}
 	for name := range c.leader.moved {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"micaspindle/internal/coordination/fit"
 	"slices"
 	"time"
 )
@@ -104,8 +105,8 @@
 	})
 	need := float64(len(j.queue))
 	fits := func() bool {
-		return (t.CPUsMax <= 0 || need*s.CPUs <= room.cpus+epsilon || room.cpus >= t.CPUsMax-s.CPUs) &&
-			(t.GPUsMax <= 0 || need*s.GPUs <= room.gpus+epsilon || room.gpus >= t.GPUsMax-s.GPUs)
+		return (t.CPUsMax <= 0 || need*s.CPUs <= room.cpus+fit.Epsilon || room.cpus >= t.CPUsMax-s.CPUs) &&
+			(t.GPUsMax <= 0 || need*s.GPUs <= room.gpus+fit.Epsilon || room.gpus >= t.GPUsMax-s.GPUs)
 	}
 	stopped := 0
 	for _, a := range victims {
@@ -123,8 +124,8 @@
 // withinGuarantee says whether one more task keeps the team in its guarantee.
 func (c *Controller) withinGuarantee(p *part, j *job) bool {
 	t, u := c.set.Params.Teams[j.team], p.usage[j.team]
-	return (t.CPUs > 0 || t.GPUs > 0) && u.cpus+j.spec.CPUs <= t.CPUs+epsilon &&
-		(j.spec.GPUs == 0 || u.gpus+j.spec.GPUs <= t.GPUs+epsilon)
+	return (t.CPUs > 0 || t.GPUs > 0) && u.cpus+j.spec.CPUs <= t.CPUs+fit.Epsilon &&
+		(j.spec.GPUs == 0 || u.gpus+j.spec.GPUs <= t.GPUs+fit.Epsilon)
 }
 
 // mayPreempt is PROTOCOL's rule of who may be stopped for whom.
@@ -133,7 +134,7 @@
 		return true
 	}
 	t, u := c.set.Params.Teams[victim.team], p.usage[victim.team]
-	beyond := u.cpus > t.CPUs+epsilon || u.gpus > t.GPUs+epsilon
+	beyond := u.cpus > t.CPUs+fit.Epsilon || u.gpus > t.GPUs+fit.Epsilon
 	return guaranteed && victim.team != j.team && beyond
 }
 
@@ -144,17 +145,12 @@
 	var chosen []*attempt
 	least := 0.0
 	for _, m := range machines {
-		if promised[m] || m.typ == nil || !allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) || !c.zoneOpen(j, m.rec.Zone) || j.failedOn[m.name] {
+		if promised[m] || m.typ == nil || !wishOf(j.spec).Allows(kindOf(m.rec)) || !c.zoneOpen(j, m.rec.Zone) || j.failedOn[m.name] {
 			continue
 		}
-		cpus, gpus, mem := m.typ.CPUs-m.usedCPUs, m.typ.GPUs-m.usedGPUs, m.typ.MemGB-m.usedMem
-		fits := func() bool {
-			return j.spec.CPUs <= cpus+epsilon && j.spec.GPUs <= gpus+epsilon && j.spec.MemGB <= mem+epsilon
-		}
-		free := func(a *attempt) {
-			s := a.job.spec
-			cpus, gpus, mem = cpus+s.CPUs, gpus+s.GPUs, mem+s.MemGB
-		}
+		room := m.free()
+		fits := func() bool { return room.Holds(needOf(j.spec)) }
+		free := func(a *attempt) { room = room.Plus(needOf(a.job.spec), 1) }
 		var candidates []*attempt
 		for _, a := range m.sorted() {
 			switch {
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -3,12 +3,11 @@
 import (
 	"context"
 	"errors"
-	"math/bits"
 	"slices"
-	"strings"
 	"time"
 
 	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/coordination/procon"
 	"micaspindle/internal/protocol"
 )
@@ -386,56 +385,12 @@
 	c.do(func() { c.applyFinalRecord(id, item.Value) })
 }
 
-// inOrder lists a part's jobs in the order in which they are served: urgency,
-// then what can still be done in time, then deadline, then age. The list is
-// kept for a moment, so that events do not each sort all jobs again.
-func (c *Controller) inOrder(p *part) []*job {
-	now := time.Now()
-	if p.order != nil && now.Sub(p.orderedAt) < orderFor {
-		p.order = slices.DeleteFunc(p.order, func(j *job) bool { return !j.owned || c.jobs[j.spec.ID] != j })
-		return slices.Clone(p.order)
-	}
-	list := []*job{}
-	for _, j := range c.jobs {
-		if j.part == p.index && j.owned && !j.blocked {
-			list = append(list, j)
-		}
-	}
-	slices.SortFunc(list, func(a, b *job) int {
-		if d := a.due().Compare(b.due()); d != 0 {
-			return d
-		}
-		return strings.Compare(a.spec.ID, b.spec.ID)
-	})
-	late := c.grade(p, list, now)
-	slices.SortStableFunc(list, func(a, b *job) int {
-		if ua, ub := a.urgency(), b.urgency(); ua != ub {
-			return int(ub) - int(ua)
-		}
-		return late[a] - late[b]
-	})
-	p.order, p.orderedAt = list, now
-	return slices.Clone(list)
-}
-
-// orderFor is how long an order of jobs is good for.
-const orderFor = 200 * time.Millisecond
-
-// due is when a job should be done; one without a deadline queues as if it
-// had a long one.
-func (j *job) due() time.Time {
-	if at, ok := j.deadline(); ok {
-		return at
-	}
-	return j.since().Add(time.Hour)
-}
-
 // withinLimit says whether one more task keeps the team within its limit.
 func (c *Controller) withinLimit(p *part, j *job) bool {
 	t := c.set.Params.Teams[j.team]
 	u := p.usage[j.team]
-	return (t.CPUsMax <= 0 || u.cpus+j.spec.CPUs <= t.CPUsMax+epsilon) &&
-		(t.GPUsMax <= 0 || u.gpus+j.spec.GPUs <= t.GPUsMax+epsilon)
+	return (t.CPUsMax <= 0 || u.cpus+j.spec.CPUs <= t.CPUsMax+fit.Epsilon) &&
+		(t.GPUsMax <= 0 || u.gpus+j.spec.GPUs <= t.GPUsMax+fit.Epsilon)
 }
 
 // zonesOpen says in which zones another task of the job may start, given where
@@ -464,7 +419,7 @@
 type round struct {
 	part   *part
 	now    time.Time
-	scarce scarcity
+	scarce fit.Scarcity
 	free   []*machine
 	// full are the shapes of tasks that found no room: room only shrinks.
 	full map[shape]bool
@@ -589,14 +544,14 @@
 // equal ones an image at hand goes first, then the fuller one, so that idle
 // machines can be returned.
 func (c *Controller) choose(r *round, j *job) *machine {
-	var fit []*machine
+	var fits []*machine
 	for _, m := range r.free {
-		if m.fits(j.spec) && allowed(j.spec, m.rec.Type, m.rec.Zone, m.rec.Spot) && c.zoneOpen(j, m.rec.Zone) &&
+		if m.fits(j.spec) && wishOf(j.spec).Allows(kindOf(m.rec)) && c.zoneOpen(j, m.rec.Zone) &&
 			!j.failedOn[m.name] {
-			fit = append(fit, m)
+			fits = append(fits, m)
 		}
 	}
-	if len(fit) == 0 {
+	if len(fits) == 0 {
 		return nil
 	}
 	// Three exceptions of docs/design.md. Types that waiting work of fewer choices
@@ -605,23 +560,23 @@
 	// returned; and where a fetch is long, machines that have the image go first,
 	// since fetches at a time share their rate.
 	breadth := c.breadth(j.spec)
-	fit = prefer(fit, func(m *machine) bool { return !r.scarce.contested(m.rec.Type, breadth) })
-	fit = prefer(fit, func(m *machine) bool { return m.rec.Spot })
+	fits = prefer(fits, func(m *machine) bool { return !r.scarce.Contested(m.rec.Type, breadth) })
+	fits = prefer(fits, func(m *machine) bool { return m.rec.Spot })
 	long := longFetch * c.estimate(j.spec)
 	if len(j.spec.Dependencies) > 0 || !j.neededBy.IsZero() {
 		long = 0 // in a pipeline, fetches add up
 	}
-	fit = prefer(fit, func(m *machine) bool {
+	fits = prefer(fits, func(m *machine) bool {
 		return j.spec.ImageGB <= long*m.typ.FetchGBPerS || m.hasImage(j.spec.Image)
 	})
-	candidates := make([]*procon.Machine, len(fit))
-	for i, m := range fit {
+	candidates := make([]*procon.Machine, len(fits))
+	for i, m := range fits {
 		candidates[i] = c.predicted(m, r.now)
 	}
 	best := c.horizon().Choose(candidates, c.prediction(j.spec, 0), func(a, b int) bool {
-		return fit[a].before(fit[b], j.spec.Image)
+		return fits[a].before(fits[b], j.spec.Image)
 	})
-	return fit[best]
+	return fits[best]
 }
 
 // predicted is what placement compares of a machine, kept until its attempts
@@ -644,7 +599,7 @@
 	if mine, theirs := m.hasImage(image), other.hasImage(image); mine != theirs {
 		return mine
 	}
-	if mine, theirs := m.typ.CPUs-m.usedCPUs, other.typ.CPUs-other.usedCPUs; mine != theirs {
+	if mine, theirs := m.typ.CPUs-m.used.CPUs, other.typ.CPUs-other.used.CPUs; mine != theirs {
 		return mine < theirs
 	}
 	return m.name < other.name
@@ -671,31 +626,21 @@
 	return slices.DeleteFunc(list, func(m *machine) bool { return !wish(m) })
 }
 
-// scarcity holds, for each machine type, how few types the choosiest
-// unfinished work that fits it can run on.
-type scarcity map[string]int
-
-// contested says that work with fewer choices than breadth needs the type.
-func (s scarcity) contested(typ string, breadth int) bool {
-	least, needed := s[typ]
-	return needed && least < breadth
-}
-
 // scarcity looks over all unfinished jobs, those of other parts too: machines
 // move between parts. It is kept for a moment, like the order of jobs.
-func (c *Controller) scarcity(now time.Time) scarcity {
+func (c *Controller) scarcity(now time.Time) fit.Scarcity {
 	if c.scarce != nil && now.Sub(c.scarceAt) < orderFor {
 		return c.scarce
 	}
-	s := scarcity{}
+	s := fit.Scarcity{}
 	for id, j := range c.jobs {
 		if j.withdrawn || j.blocked || c.finals[id] != "" || j.owned && len(j.queue) == 0 {
 			continue
 		}
 		n := c.breadth(j.spec)
 		for i := range c.catalog {
-			if t := &c.catalog[i]; typeFits(j.spec, t) && (s[t.Name] == 0 || n < s[t.Name]) {
-				s[t.Name] = n
+			if t := &c.catalog[i]; fit.Offered(wishOf(j.spec), needOf(j.spec), t) {
+				s.Needs(t.Name, n)
 			}
 		}
 	}
@@ -704,7 +649,7 @@
 }
 
 // breadth is on how many machine types a task could run.
-func (c *Controller) breadth(s *protocol.JobSpec) int { return bits.OnesCount64(c.typeSet(s)) }
+func (c *Controller) breadth(s *protocol.JobSpec) int { return fit.Breadth(c.typeSet(s)) }
 
 func (c *Controller) horizon() procon.Horizon {
 	return procon.Horizon{MaxS: 3600, OverdueS: c.reportS.Seconds()}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -9,6 +9,7 @@
 
 	"micaspindle/internal/audit"
 	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/identity"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/rights"
@@ -344,14 +345,14 @@
 	if s.Standing || s.Gang {
 		n = float64(s.Tasks)
 	}
-	if t.CPUsMax > 0 && n*s.CPUs > t.CPUsMax+epsilon || t.GPUsMax > 0 && n*s.GPUs > t.GPUsMax+epsilon {
+	if t.CPUsMax > 0 && n*s.CPUs > t.CPUsMax+fit.Epsilon || t.GPUsMax > 0 && n*s.GPUs > t.GPUsMax+fit.Epsilon {
 		return "more than the team's limit"
 	}
 	if len(c.catalog) == 0 {
 		return ""
 	}
 	for i := range c.catalog {
-		if typeFits(s, &c.catalog[i]) {
+		if fit.Offered(wishOf(s), needOf(s), &c.catalog[i]) {
 			return ""
 		}
 	}
