--- a/internal/coordination/fleet/fleet.go
+++ b/internal/coordination/fleet/fleet.go
@@ -202,7 +202,8 @@
 func (r *round) move() {
 	for i := range r.Machines {
 		m := &r.Machines[i]
-		if m.Type != nil && m.Idle && !m.Retiring && !m.Faulty && !m.Lost && r.Now.Sub(m.Moved) >= moveRest {
+		if m.Type != nil && m.Idle && !m.Retiring && !m.Faulty && !m.Lost && r.Now.Sub(m.Moved) >= moveRest &&
+			!r.leaving[i] && r.Now.Sub(m.Leaving) >= departRest {
 			r.idle[m.Part] = append(r.idle[m.Part], i)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/order/order_test.go
@@ -0,0 +1,123 @@
+package order
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"reflect"
+	"testing"
+	"time"
+
+	"micaspindle/internal/protocol"
+)
+
+var now = time.Unix(10_000, 0)
+
+func job(id string, dueS, runS float64) Job {
+	due := now.Add(time.Duration(dueS * float64(time.Second)))
+	return Job{ID: id, Urgency: protocol.Standard, Received: now, Due: due, Deadline: due, EstimateS: runS, Waiting: 1, Slots: 1, AtOnce: math.Inf(1)}
+}
+
+func TestOf(t *testing.T) {
+	urgent, no, starving := job("urgent", 900, 5), job("no deadline", 50, 5), job("starving", -850, 50)
+	urgent.Urgency, no.Deadline = protocol.High, time.Time{}
+	starving.Received = now.Add(-1000 * time.Second)
+	for name, c := range map[string]struct {
+		jobs []Job
+		want string
+	}{
+		"by deadline":                   {[]Job{job("b", 30, 5), job("a", 20, 5)}, "a b"},
+		"urgency first":                 {[]Job{job("a", 20, 5), urgent}, "urgent a"},
+		"the largest goes last":         {[]Job{job("large", 20, 18), job("small", 21, 6)}, "small large"},
+		"all can be in time":            {[]Job{job("large", 24, 18), job("small", 25, 6)}, "large small"},
+		"without a deadline by its due": {[]Job{job("a", 60, 5), no, job("b", 40, 5)}, "b no deadline a"},
+		"what starves is not passed by": {[]Job{job("a", 20, 5), starving}, "starving a"},
+		"equals by id":                  {[]Job{job("b", 20, 1), job("a", 20, 1)}, "a b"},
+		"no machine: by deadline": {func() []Job {
+			l := []Job{job("large", 20, 18), job("small", 21, 6)}
+			l[0].Slots, l[1].Slots = 0, 0
+			return l
+		}(), "large small"},
+		"the team's limit is a queue too": {func() []Job {
+			l := []Job{job("large", 20, 18), job("small", 21, 6)}
+			for i := range l {
+				l[i].Slots, l[i].AtOnce = math.Inf(1), 1
+			}
+			return l
+		}(), "small large"},
+	} {
+		got := ""
+		for i, at := range Of(c.jobs, now) {
+			if i > 0 {
+				got += " "
+			}
+			got += c.jobs[at].ID
+		}
+		if got != c.want {
+			t.Errorf("%s: %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+// Against all subsets of random jobs on one machine: as many are served first as can
+// be in time. The order does not hang on that of the list.
+func TestAsManyAsCanBeInTime(t *testing.T) {
+	for seed := range uint64(400) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		var jobs []Job
+		for i := range 1 + rng.IntN(8) {
+			run := float64(1 + rng.IntN(20))
+			j := job(fmt.Sprint(i), run+float64(rng.IntN(40)), run)
+			jobs = append(jobs, j)
+		}
+		list := Of(jobs, now)
+		most := 0
+		for set := range 1 << len(jobs) {
+			var chosen []Job
+			for i := range jobs {
+				if set>>i&1 == 1 {
+					chosen = append(chosen, jobs[i])
+				}
+			}
+			if n := inTime(chosen); n == len(chosen) {
+				most = max(most, n)
+			}
+		}
+		var served []Job
+		for _, i := range list {
+			served = append(served, jobs[i])
+		}
+		if got := inTime(served[:most]); got != most {
+			t.Errorf("seed %d: %d of the first %d are in time", seed, got, most)
+		}
+		swapped := append([]Job(nil), jobs...)
+		rng.Shuffle(len(swapped), func(a, b int) { swapped[a], swapped[b] = swapped[b], swapped[a] })
+		var again []string
+		var first []string
+		for i, at := range Of(swapped, now) {
+			again, first = append(again, swapped[at].ID), append(first, served[i].ID)
+		}
+		if !reflect.DeepEqual(first, again) {
+			t.Errorf("seed %d: %v of another list, %v before", seed, again, first)
+		}
+	}
+}
+
+// inTime is how many of the jobs are in time, one after the other by deadline.
+func inTime(jobs []Job) int {
+	left := append([]Job(nil), jobs...)
+	at, n := 0.0, 0
+	for len(left) > 0 {
+		first := 0
+		for i := range left {
+			if left[i].Due.Before(left[first].Due) {
+				first = i
+			}
+		}
+		if at += left[first].EstimateS; at <= left[first].Due.Sub(now).Seconds()+1e-9 {
+			n++
+		}
+		left = append(left[:first], left[first+1:]...)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/coordination/preemption/preemption.go
@@ -0,0 +1,253 @@
+// Package preemption decides which running tasks are stopped for jobs that must
+// start now and find no room, as PROTOCOL allows: only lower work, and what another
+// team runs beyond its guarantee while the job is within its own. It is a pure
+// function of a view of one part.
+package preemption
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"micaspindle/internal/coordination/fit"
+	"micaspindle/internal/protocol"
+)
+
+const (
+	// lastMoment is how close to being late a job must be before running work is
+	// stopped for it: stopping wastes work, and room may still come free.
+	lastMoment = 8 * time.Second
+	// quotaMoment is the same where only the team's limit is in the way: its own
+	// lower work has to save and end first.
+	quotaMoment = 20 * time.Second
+	// patience is how long jobs without a deadline, and jobs within their team's
+	// guarantee, wait before running work is stopped for them.
+	patience = 15 * time.Second
+	// most is how many tasks are stopped at a time.
+	most = 8
+)
+
+// Share is what a team has, or uses, of what is shared out.
+type Share struct{ CPUs, GPUs float64 }
+
+// Team is a team's rights and use. A limit of 0 is none.
+type Team struct{ Guarantee, Limit, Used Share }
+
+// Job is a job that waits, or whose work may be stopped.
+type Job struct {
+	Team    int
+	Urgency protocol.Urgency
+	Need    fit.Amounts
+	Wish    fit.Wish
+	// Since is when it could first have started, Due when it should be done; zero:
+	// no matter.
+	Since, Due time.Time
+	EstimateS  float64
+	Waiting    int
+	Standing   bool
+	// Never: nothing is stopped for it, as for gangs.
+	Never bool
+	// Closed are zones where no further task of it may start, Failed machines where
+	// it failed.
+	Closed, Failed map[string]bool
+}
+
+// Task is a running one.
+type Task struct {
+	Job  int
+	Name string
+	// Loss is what stopping it throws away, in CPU seconds.
+	Loss     float64
+	Stopping bool
+}
+
+// Machine is a usable one with what runs on it, in order of names.
+type Machine struct {
+	Name  string
+	Kind  fit.Kind
+	Free  fit.Amounts
+	Tasks []int
+}
+
+// View is one part.
+type View struct {
+	Now   time.Time
+	Teams []Team
+	// Jobs are in the order of service.
+	Jobs     []Job
+	Tasks    []Task
+	Machines []Machine
+}
+
+// Stop is a task that is to be stopped for a job; OwnLimit: because the team's limit
+// is in the way.
+type Stop struct {
+	Task, For int
+	OwnLimit  bool
+}
+
+// MustStart says whether a job that waits can't do so any longer.
+func MustStart(j *Job, t *Team, now time.Time) bool {
+	if j.Due.IsZero() {
+		return now.Sub(j.Since) > patience
+	}
+	moment := lastMoment
+	if !t.allows(j) {
+		moment = quotaMoment
+	}
+	spare := j.Due.Sub(now) - time.Duration(j.EstimateS*float64(time.Second))
+	return spare >= 0 && spare < moment
+}
+
+// allows says whether one more task keeps the team within its limit.
+func (t *Team) allows(j *Job) bool {
+	return (t.Limit.CPUs <= 0 || t.Used.CPUs+j.Need.CPUs <= t.Limit.CPUs+fit.Epsilon) &&
+		(t.Limit.GPUs <= 0 || t.Used.GPUs+j.Need.GPUs <= t.Limit.GPUs+fit.Epsilon)
+}
+
+// guarantees says whether one more task keeps the team in its guarantee.
+func (t *Team) guarantees(j *Job) bool {
+	return (t.Guarantee.CPUs > 0 || t.Guarantee.GPUs > 0) && t.Used.CPUs+j.Need.CPUs <= t.Guarantee.CPUs+fit.Epsilon &&
+		(j.Need.GPUs == 0 || t.Used.GPUs+j.Need.GPUs <= t.Guarantee.GPUs+fit.Epsilon)
+}
+
+// beyond says whether the team uses more than its guarantee.
+func (t *Team) beyond() bool {
+	return t.Used.CPUs > t.Guarantee.CPUs+fit.Epsilon || t.Used.GPUs > t.Guarantee.GPUs+fit.Epsilon
+}
+
+// round is a decision under way.
+type round struct {
+	View
+	stopping []bool
+	promised []bool // machines whose room is spoken for
+	stops    []Stop
+}
+
+// Decide says what is stopped.
+func Decide(v View) []Stop {
+	r := &round{View: v, stopping: make([]bool, len(v.Tasks)), promised: make([]bool, len(v.Machines))}
+	for i, t := range v.Tasks {
+		r.stopping[i] = t.Stopping
+	}
+	for i := range v.Jobs {
+		j := &v.Jobs[i]
+		team := &v.Teams[j.Team]
+		if j.Waiting == 0 || j.Never || !MustStart(j, team, v.Now) {
+			continue
+		}
+		if !team.allows(j) {
+			r.freeQuota(i)
+			continue
+		}
+		guaranteed := team.guarantees(j)
+		for range j.Waiting {
+			if len(r.stops) >= most {
+				break
+			}
+			m, victims := r.victims(j, guaranteed)
+			if m < 0 {
+				break
+			}
+			r.promised[m] = true
+			for _, t := range victims {
+				r.stop(t, i, false)
+			}
+		}
+	}
+	return r.stops
+}
+
+func (r *round) stop(task, job int, ownLimit bool) {
+	r.stopping[task] = true
+	r.stops = append(r.stops, Stop{task, job, ownLimit})
+}
+
+// worth is how much work a task of a job brings, in CPU seconds: throwing away more
+// than that helps nobody.
+func worth(j *Job, cpus float64) float64 { return j.EstimateS * max(cpus, 1) }
+
+// freeQuota stops lower work of a job's own team, so that the job gets what the
+// team's limit leaves.
+func (r *round) freeQuota(at int) {
+	j := &r.Jobs[at]
+	t := &r.Teams[j.Team]
+	room := Share{t.Limit.CPUs - t.Used.CPUs, t.Limit.GPUs - t.Used.GPUs}
+	var victims []int
+	for i, task := range r.Tasks {
+		lower := &r.Jobs[task.Job]
+		if lower.Team != j.Team || lower.Urgency >= j.Urgency {
+			continue
+		}
+		switch {
+		case r.stopping[i]:
+			room.add(lower.Need)
+		case task.Loss <= worth(j, lower.Need.CPUs):
+			victims = append(victims, i)
+		}
+	}
+	slices.SortFunc(victims, func(a, b int) int {
+		return cmp.Or(cmp.Compare(r.Tasks[a].Loss, r.Tasks[b].Loss), cmp.Compare(r.Tasks[a].Name, r.Tasks[b].Name))
+	})
+	need := float64(j.Waiting)
+	fits := func() bool {
+		return (t.Limit.CPUs <= 0 || need*j.Need.CPUs <= room.CPUs+fit.Epsilon || room.CPUs >= t.Limit.CPUs-j.Need.CPUs) &&
+			(t.Limit.GPUs <= 0 || need*j.Need.GPUs <= room.GPUs+fit.Epsilon || room.GPUs >= t.Limit.GPUs-j.Need.GPUs)
+	}
+	for _, i := range victims {
+		if len(r.stops) >= most || fits() {
+			break
+		}
+		room.add(r.Jobs[r.Tasks[i].Job].Need)
+		r.stop(i, at, true)
+	}
+}
+
+func (s *Share) add(need fit.Amounts) { s.CPUs, s.GPUs = s.CPUs+need.CPUs, s.GPUs+need.GPUs }
+
+// may is PROTOCOL's rule of who may be stopped for whom.
+func (r *round) may(j *Job, guaranteed bool, victim *Job) bool {
+	return victim.Urgency < j.Urgency || guaranteed && victim.Team != j.Team && r.Teams[victim.Team].beyond()
+}
+
+// victims finds the machine where room for one task of a job costs least, and what
+// to stop there. A machine where work is stopping already serves as it is.
+func (r *round) victims(j *Job, guaranteed bool) (best int, chosen []int) {
+	best = -1
+	least := 0.0
+	for i := range r.Machines {
+		m := &r.Machines[i]
+		if r.promised[i] || !j.Wish.Allows(m.Kind) || j.Closed[m.Kind.Zone] || j.Failed[m.Name] {
+			continue
+		}
+		room := m.Free
+		var candidates []int
+		for _, t := range m.Tasks {
+			victim := &r.Jobs[r.Tasks[t].Job]
+			switch {
+			case r.stopping[t]:
+				room = room.Plus(victim.Need, 1)
+			case r.may(j, guaranteed, victim):
+				candidates = append(candidates, t)
+			}
+		}
+		slices.SortStableFunc(candidates, func(a, b int) int { return cmp.Compare(r.Tasks[a].Loss, r.Tasks[b].Loss) })
+		var stop []int
+		cost := 0.0
+		for _, t := range candidates {
+			if room.Holds(j.Need) {
+				break
+			}
+			room = room.Plus(r.Jobs[r.Tasks[t].Job].Need, 1)
+			stop = append(stop, t)
+			cost += r.Tasks[t].Loss
+		}
+		if !j.Standing && cost > worth(j, j.Need.CPUs) {
+			continue
+		}
+		if room.Holds(j.Need) && (best < 0 || cost < least) {
+			best, chosen, least = i, stop, cost
+		}
+	}
+	return best, chosen
+}
--- a/internal/coordination/schedule.go
+++ b/internal/coordination/schedule.go
@@ -545,9 +545,9 @@
 // machines can be returned.
 func (c *Controller) choose(r *round, j *job) *machine {
 	var fits []*machine
+	need, wish := needOf(j.spec), wishOf(j.spec)
 	for _, m := range r.free {
-		if m.fits(j.spec) && wishOf(j.spec).Allows(kindOf(m.rec)) && c.zoneOpen(j, m.rec.Zone) &&
-			!j.failedOn[m.name] {
+		if m.free().Holds(need) && wish.Allows(kindOf(m.rec)) && c.zoneOpen(j, m.rec.Zone) && !j.failedOn[m.name] {
 			fits = append(fits, m)
 		}
 	}
--- a/internal/gate/kills_test.go
+++ b/internal/gate/kills_test.go
@@ -49,8 +49,8 @@
 	down              time.Time
 	downs, lost, gone int
 	sweeps            []context.CancelFunc
-	conn   *grpc.ClientConn // of machines, to any gate
-	wg     sync.WaitGroup
+	conn              *grpc.ClientConn // of machines, to any gate
+	wg                sync.WaitGroup
 }
 
 type killedJob struct{ left, tasks int }
