Jobs are sorted in room that is kept; what only contests need is worked out for them

Change: views and lists are kept between sorts; estimates, types and slots are worked out for waiting jobs with a deadline only; comparisons stop at the first difference.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -69,6 +69,7 @@
 	scarce   fit.Scarcity
 	scarceAt time.Time
 	said     said
+	sorting  sorting
 	policy   policyRecords
 	queues   queueBook
 	// writeDemand is how many changes a second this controller wants.
--- a/internal/coordination/lateness.go
+++ b/internal/coordination/lateness.go
@@ -19,33 +19,42 @@
 		p.order = slices.DeleteFunc(p.order, func(j *job) bool { return !j.owned || c.jobs[j.spec.ID] != j })
 		return slices.Clone(p.order)
 	}
-	list, views := []*job{}, []order.Job{}
+	// The room for both is that of the last time.
+	list, views := c.sorting.jobs[:0], c.sorting.views[:0]
 	for _, j := range c.jobs {
 		if j.part == p.index && j.owned && !j.blocked {
 			list, views = append(list, j), append(views, c.forOrder(j))
 		}
 	}
-	c.fillSlots(p, list, views)
+	c.sorting = sorting{list, views}
+	c.fillContest(p, list, views)
 	p.order, p.orderedAt = make([]*job, len(list)), now
 	for i, at := range order.Of(views, now) {
 		p.order[i] = list[at]
 	}
+	clear(list) // jobs that end are not held
 	return slices.Clone(p.order)
 }
 
+// sorting is room for sorting jobs.
+type sorting struct {
+	jobs  []*job
+	views []order.Job
+}
+
 // orderFor is how long an order of jobs is good for.
 const orderFor = 200 * time.Millisecond
 
-// forOrder is what the order of jobs depends on.
+// forOrder is what the order depends on of every job.
 func (c *Controller) forOrder(j *job) order.Job {
 	deadline, _ := j.deadline()
-	return order.Job{ID: j.spec.ID, Urgency: j.urgency(), Received: j.received, Due: j.due(), Deadline: deadline,
-		EstimateS: c.estimate(j.spec), Waiting: len(j.queue), Team: j.team, Types: c.typeSet(j.spec), AtOnce: c.atOnce(j)}
+	return order.Job{ID: j.spec.ID, Urgency: j.urgency(), Received: j.received, Due: j.due(), Deadline: deadline, Waiting: len(j.queue), Team: j.team}
 }
 
-// fillSlots works out how many tasks of each job with a deadline the part's machines
-// run at a time; jobs that are alike share the answer.
-func (c *Controller) fillSlots(p *part, list []*job, views []order.Job) {
+// fillContest works out what the order depends on of those jobs only that wait and
+// have a deadline: how long they run, on what, and how many tasks the part's machines
+// and the team's limit let run at a time. Jobs that are alike share the answer.
+func (c *Controller) fillContest(p *part, list []*job, views []order.Job) {
 	machines := map[string]int{}
 	for _, m := range c.machines {
 		if m.rec.Part == p.index && m.typ != nil && !m.lost && !m.faulty {
@@ -62,6 +71,7 @@
 		if v.Deadline.IsZero() || v.Waiting == 0 {
 			continue
 		}
+		v.EstimateS, v.Types, v.AtOnce = c.estimate(j.spec), c.typeSet(j.spec), c.atOnce(j)
 		k := like{needOf(j.spec), v.Types}
 		slots, ok := known[k]
 		if !ok {
--- a/internal/coordination/order/order.go
+++ b/internal/coordination/order/order.go
@@ -20,14 +20,18 @@
 	// Received is when it was submitted, Due when it should be done, or by when it
 	// queues if that is no matter: then Deadline is zero.
 	Received, Due, Deadline time.Time
-	// EstimateS is how long a task runs, Waiting how many wait.
+	// Waiting is how many tasks wait.
+	Waiting int
+	Team    int
+
+	// Of jobs that don't wait, or have no deadline, the rest is not asked.
+
+	// EstimateS is how long a task runs.
 	EstimateS float64
-	Waiting   int
-	Team      int
 	// Types is the set of machine types that its tasks fit.
 	Types uint64
 	// Slots is how many of its tasks the part's machines run at a time, AtOnce how
-	// many its team's limit lets run. Of jobs without a deadline neither is asked.
+	// many its team's limit lets run.
 	Slots, AtOnce float64
 }
 
@@ -50,7 +54,10 @@
 		list[i] = i
 	}
 	slices.SortFunc(list, func(a, b int) int {
-		return cmp.Or(jobs[a].Due.Compare(jobs[b].Due), strings.Compare(jobs[a].ID, jobs[b].ID))
+		if d := jobs[a].Due.Compare(jobs[b].Due); d != 0 {
+			return d
+		}
+		return strings.Compare(jobs[a].ID, jobs[b].ID)
 	})
 	late := grade(jobs, list, now)
 	slices.SortStableFunc(list, func(a, b int) int {
