--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -15,6 +15,7 @@
 
 	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/coordination/fit"
+	"micaspindle/internal/coordination/parts"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/protocol/peer"
 	"micaspindle/internal/settings"
@@ -70,6 +71,7 @@
 	scarceAt time.Time
 	said     said
 	sorting  sorting
+	placing  placing
 	policy   policyRecords
 	queues   queueBook
 	// writeDemand is how many changes a second this controller wants.
@@ -111,7 +113,7 @@
 		cloudBudget: rate.NewLimiter(rate.Limit(p.Cloud.RPS*0.8), 2),
 		calls:       make(chan func(), 256), loopDone: make(chan struct{}),
 
-		teamIndex: map[string]int{}, teamPart: teamParts(p.Teams, p.Count),
+		teamIndex: map[string]int{}, teamPart: parts.Of(p.Teams, p.Count),
 		leaseS: settings.Seconds(p.Workers.LeaseS), cancelS: settings.Seconds(p.Workers.CancelS),
 		reportS: settings.Seconds(p.Workers.ReportS),
 
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"micaspindle/internal/coordination/placement"
 	"micaspindle/internal/coordination/preemption"
 )
 
@@ -77,9 +78,9 @@
 	for i, j := range list {
 		note(j)
 		if len(j.queue) > 0 && (j.spec.OneZone || j.spec.Spread) {
-			closed := map[string]bool{}
+			closed, in := map[string]bool{}, j.zones()
 			for zone := range zones {
-				closed[zone] = !c.zoneOpen(j, zone)
+				closed[zone] = !placement.Open(j.spec.OneZone, j.spec.Spread, j.spec.Tasks, in, zone)
 			}
 			v.Jobs[i].Closed = closed
 		}
