--- a/internal/gate/ahead.go
+++ b/internal/gate/ahead.go
@@ -59,6 +59,11 @@
 			running += now
 		}
 	}
+	for l := range g.gather.leaving {
+		if l.line() == k {
+			ahead[l.client()] += len(l.tasks)
+		}
+	}
 	window := g.config.Shares.Ahead.Window(q.served.PerSecond(now), running)
 	for len(q.ready) > 0 {
 		waiting := make([]admission.Lot, len(q.ready))
@@ -76,13 +81,14 @@
 			delete(g.gather.lots, l.key)
 		}
 		l.gone = true
+		g.gather.leaving[l] = true
 		go g.dispatch(l)
 	}
 }
 
-// handOn notes a job that is about to be submitted, with the lock held: from then
-// on its tasks are ahead of what comes.
+// handOn notes the job of a lot that is about to be submitted, with the lock held.
 func (g *Gate) handOn(job string, l *lot) {
+	delete(g.gather.leaving, l)
 	if g.gather.handed[job] == nil {
 		g.gather.handed[job] = &handed{line: l.line(), client: l.client(), tasks: len(l.tasks), left: len(l.tasks)}
 	}
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -37,9 +37,12 @@
 
 // gatherer gathers actions into jobs.
 type gatherer struct {
-	mu      sync.Mutex
-	lots    map[lotKey]*lot // that still gather
-	queues  map[line]*queue
+	mu     sync.Mutex
+	lots   map[lotKey]*lot // that still gather
+	queues map[line]*queue
+	// leaving are lots on their way to being handed on, whose job has no id yet: they
+	// are ahead as well.
+	leaving map[*lot]bool
 	handed  map[string]*handed // by job
 	running map[string]*task   // by space and execution: identical ones run once
 	wanted  map[string]*interest
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -121,7 +121,7 @@
 // actions become, nil: nothing is run.
 func New(config Config, store *content.Store, results *content.Results, access Access, peers *Peers, jobs Jobs, log *slog.Logger) *Gate {
 	return &Gate{config: config, store: store, results: results, access: access, peers: peers, jobs: jobs, log: log, uploads: uploads{open: map[string]*partial{}},
-		gather: gatherer{lots: map[lotKey]*lot{}, queues: map[line]*queue{}, handed: map[string]*handed{}, seekers: map[string]*seeker{}, running: map[string]*task{}, wanted: map[string]*interest{}, leases: map[string]lease{}}}
+		gather: gatherer{lots: map[lotKey]*lot{}, queues: map[line]*queue{}, leaving: map[*lot]bool{}, handed: map[string]*handed{}, seekers: map[string]*seeker{}, running: map[string]*task{}, wanted: map[string]*interest{}, leases: map[string]lease{}}}
 }
 
 func randomName() string { return rand.Text() }
