Retries in one place: spread pauses, a budget of retries, circuits

Change: internal/retry decides, purely and the same each time; the duties of the controllers, the cloud's calls, gates among each other and users' clients use it.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -7,6 +7,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/rand"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -19,15 +20,19 @@
 	"time"
 
 	"micaspindle/internal/protocol"
+	"micaspindle/internal/retry"
 )
 
 const (
 	answerTime = 5 * time.Second
-	retryPause = time.Second
 	longPause  = 30 * time.Second
 	maxAnswer  = 8 << 20
 )
 
+// pauses are between rounds of tries: users come again about once a second, and
+// those who failed together do not come back together.
+var pauses = retry.Backoff{First: time.Second, Most: 2 * time.Second}
+
 // Client speaks to a cluster; it may be used by several goroutines at a time.
 type Client struct {
 	// Controllers are addresses, HOST:PORT.
@@ -42,11 +47,13 @@
 	scheme string
 	http   *http.Client
 	next   atomic.Uint32
+	// retries is shared by all that speak for this process.
+	retries *retry.Budget
 }
 
 // New makes a client; without a TLS configuration it speaks in the clear.
 func New(controllers []string, secure *tls.Config, token string) *Client {
-	c := &Client{Controllers: controllers, Token: token, Patience: time.Minute, scheme: "http"}
+	c := &Client{Controllers: controllers, Token: token, Patience: time.Minute, scheme: "http", retries: &retry.Budget{Part: 0.2, Most: 50}}
 	transport := &http.Transport{TLSClientConfig: secure, MaxIdleConnsPerHost: 16, IdleConnTimeout: 20 * time.Second}
 	if secure != nil {
 		c.scheme = "https"
@@ -57,17 +64,17 @@
 
 // At is the same client, speaking to one controller only.
 func (c *Client) At(addr string) *Client {
-	return &Client{Controllers: []string{addr}, Token: c.Token, OnBehalfOf: c.OnBehalfOf, Patience: c.Patience, scheme: c.scheme, http: c.http}
+	return &Client{Controllers: []string{addr}, Token: c.Token, OnBehalfOf: c.OnBehalfOf, Patience: c.Patience, scheme: c.scheme, http: c.http, retries: c.retries}
 }
 
 // With is the same client with somebody else's token.
 func (c *Client) With(token string) *Client {
-	return &Client{Controllers: c.Controllers, Token: token, Patience: c.Patience, scheme: c.scheme, http: c.http}
+	return &Client{Controllers: c.Controllers, Token: token, Patience: c.Patience, scheme: c.scheme, http: c.http, retries: c.retries}
 }
 
 // For is the same client, asking for somebody with the process's own certificate.
 func (c *Client) For(name string) *Client {
-	return &Client{Controllers: c.Controllers, OnBehalfOf: name, Patience: c.Patience, scheme: c.scheme, http: c.http}
+	return &Client{Controllers: c.Controllers, OnBehalfOf: name, Patience: c.Patience, scheme: c.scheme, http: c.http, retries: c.retries}
 }
 
 // Refusal is an answer that refuses.
@@ -103,6 +110,8 @@
 	defer cancel()
 	var last error
 	failures := 0
+	tries := retry.Tries{Backoff: pauses, Who: rand.Text()}
+	c.retries.Call()
 	for {
 		answer, pause, err := c.once(ctx, method, target, body)
 		if err == nil {
@@ -122,8 +131,8 @@
 			last = err
 		}
 		// Another controller may answer at once; only when all have failed is
-		// there a reason to wait.
-		if failures++; failures%len(c.Controllers) != 0 && pause == 0 {
+		// there a reason to wait, or when so much fails that it would be a flood.
+		if failures++; failures%len(c.Controllers) != 0 && pause == 0 && c.retries.Retry() {
 			continue
 		}
 		select {
@@ -132,7 +141,7 @@
 				last = ctx.Err()
 			}
 			return fmt.Errorf("%w: %s %s: %w", ErrUnanswered, method, target, last)
-		case <-time.After(max(pause, retryPause)):
+		case <-time.After(max(pause, tries.Failed())):
 		}
 	}
 }
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strconv"
 	"time"
 
 	"micaspindle/internal/bookkeeping"
@@ -317,13 +318,14 @@
 		ok := false
 		return c.do(func() { ok = p.mine && p.version == version }) && ok
 	}
+	tries := c.tries("rebuild "+strconv.Itoa(p.index), rebuildPause)
 	for current() {
 		if err := c.tryRebuild(p, version); err == nil {
 			return
 		} else {
 			c.log.Info("rebuilding failed", "part", p.index, "reason", err)
 		}
-		if !c.sleep(200 * time.Millisecond) {
+		if !c.sleep(tries.Failed()) {
 			return
 		}
 	}
--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"time"
 
 	"micaspindle/internal/bookkeeping"
@@ -34,6 +35,7 @@
 
 // commitDuty writes a part's records, one transaction at a time.
 func (c *Controller) commitDuty(p *part) {
+	tries := c.tries("commit "+strconv.Itoa(p.index), commitPause)
 	for {
 		select {
 		case <-p.kick:
@@ -48,7 +50,7 @@
 					b = c.prepare(p, time.Now())
 				}
 			})
-			if len(unsure) > 0 && !c.reread(p, unsure) && !c.sleep(200*time.Millisecond) {
+			if len(unsure) > 0 && !c.reread(p, unsure) && !c.sleep(tries.Failed()) {
 				return
 			}
 			if b == nil {
@@ -62,7 +64,9 @@
 			rev, err := commit(ctx, &b.txn)
 			cancel()
 			c.do(func() { c.committed(p, b, rev, err) })
-			if err != nil && !c.sleep(150*time.Millisecond) {
+			if err == nil {
+				tries.Succeeded()
+			} else if !c.sleep(tries.Failed()) {
 				return
 			}
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -18,6 +18,7 @@
 	"micaspindle/internal/coordination/parts"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/protocol/peer"
+	"micaspindle/internal/retry"
 	"micaspindle/internal/settings"
 )
 
@@ -29,7 +30,9 @@
 	store *bookkeeping.Store
 	// cloudBudget keeps this controller within its share of the cloud's limit.
 	cloudBudget *rate.Limiter
-	log         *slog.Logger
+	// cloudCircuit leaves its interface alone while it does not answer.
+	cloudCircuit retry.Circuit
+	log          *slog.Logger
 	// guard asks who comes; nil: everybody may do everything.
 	guard *guard
 	nonce string
@@ -122,6 +125,7 @@
 		peers: map[string]*peerState{}, unknown: map[string]*peer.UnknownMachine{},
 		strayed: map[string]time.Time{}, bias: map[string]*classBias{},
 	}
+	c.cloudCircuit = retry.Circuit{After: cloudFailures, Rest: cloudRest, Who: set.Label + " cloud"}
 	for i, t := range p.Teams {
 		c.teamIndex[t.Name] = i
 	}
@@ -211,6 +215,27 @@
 	}
 }
 
+// Pauses after a failure, by duty. Those of a state service that refuses stay short:
+// its budget makes duties wait already.
+var (
+	commitPause  = retry.Backoff{First: 200 * time.Millisecond, Most: 400 * time.Millisecond}
+	followPause  = retry.Backoff{First: 250 * time.Millisecond, Most: 400 * time.Millisecond}
+	rebuildPause = retry.Backoff{First: 250 * time.Millisecond, Most: 400 * time.Millisecond}
+	recordPause  = retry.Backoff{First: 600 * time.Millisecond, Most: 1200 * time.Millisecond}
+	cloudPause   = retry.Backoff{First: 1200 * time.Millisecond, Most: 2400 * time.Millisecond}
+	// cloudRest is how long the cloud's interface is left alone after it did not
+	// answer several times in a row.
+	cloudRest = retry.Backoff{First: time.Second, Most: 2 * time.Second}
+)
+
+// cloudFailures is how many times in a row that is.
+const cloudFailures = 3
+
+// tries counts the failures of one of this controller's duties.
+func (c *Controller) tries(duty string, pauses retry.Backoff) *retry.Tries {
+	return &retry.Tries{Backoff: pauses, Who: c.set.Label + " " + duty}
+}
+
 // sleep waits and reports whether the controller still runs.
 func (c *Controller) sleep(d time.Duration) bool {
 	t := time.NewTimer(d)
@@ -271,7 +296,7 @@
 
 // watchDuty follows the shared records: a listing, then changes from there.
 func (c *Controller) watchDuty() {
-	pause := 200 * time.Millisecond
+	tries := c.tries("watch", followPause)
 	wait := min(10*time.Second, c.staleBound()/3)
 	if c.guard != nil {
 		wait = policyWait
@@ -283,7 +308,7 @@
 			items, rev, err := c.store.List(c.ctx, bookkeeping.WatchPrefix)
 			if err != nil {
 				c.log.Debug("listing failed", "reason", err)
-				if !c.sleep(pause) {
+				if !c.sleep(tries.Failed()) {
 					return
 				}
 				continue
@@ -307,7 +332,7 @@
 			// have missed changes; a fresh listing never does.
 			c.log.Debug("watch ended", "reason", err)
 			revision = 0
-			if !c.sleep(pause) {
+			if !c.sleep(tries.Failed()) {
 				return
 			}
 			continue
@@ -322,6 +347,7 @@
 			return
 		}
 		revision = max(revision, ev.Revision)
+		tries.Succeeded()
 	}
 }
 
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -90,10 +90,16 @@
 	}
 }
 
+// errCloudRests: the cloud's interface has not answered for a while.
+var errCloudRests = errors.New("the cloud's interface does not answer; it is left alone for a moment")
+
 // cloud sends one request to the cloud within its budget.
 func (c *Controller) cloud(method, target string, in, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(c.ctx, 5*time.Second)
 	defer cancel()
+	if c.cloudCircuit.Open(time.Now()) {
+		return 0, errCloudRests
+	}
 	if err := c.cloudBudget.Wait(ctx); err != nil {
 		return 0, fmt.Errorf("cloud budget: %w", err)
 	}
@@ -101,7 +107,11 @@
 	if in != nil {
 		body = protocol.Encode(in)
 	}
+	if !c.cloudCircuit.Allow(time.Now()) {
+		return 0, errCloudRests
+	}
 	resp, err := c.net.Do(ctx, c.set.Services.Cloud, method, target, body)
+	c.cloudCircuit.Done(time.Now(), err == nil)
 	if err != nil {
 		return 0, fmt.Errorf("cloud: %w", err)
 	}
@@ -357,6 +367,7 @@
 
 // recordMachines writes the assignment of new machines.
 func (c *Controller) recordMachines(names []string, rec bookkeeping.Machine) {
+	tries := c.tries("records", recordPause)
 	for len(names) > 0 {
 		var group []string
 		for {
@@ -392,7 +403,7 @@
 				return // on record already, or no longer leading: the watch tells
 			}
 			c.log.Info("machines not recorded yet", "machines", group, "reason", err)
-			if !c.sleep(500 * time.Millisecond) {
+			if !c.sleep(tries.Failed()) {
 				return
 			}
 		}
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -25,6 +25,7 @@
 // finishRental repeats a request under its name until it is answered.
 func (c *Controller) finishRental(name string, r *rental, version uint64) {
 	req := protocol.Rental{Request: name, Type: r.kind.Type, Zone: r.kind.Zone, Spot: r.kind.Spot, Count: r.count}
+	tries := c.tries(name, cloudPause)
 	for {
 		var names protocol.MachineNames
 		status, err := c.cloud("POST", "/machines", req, &names)
@@ -53,7 +54,7 @@
 		c.log.Debug("rental unanswered", "request", name, "status", status, "reason", err)
 		leading := false
 		c.do(func() { leading = c.leader.mine && c.leader.version == version })
-		if !leading || !c.sleep(time.Second) {
+		if !leading || !c.sleep(tries.Failed()) {
 			return
 		}
 	}
--- a/internal/gate/peers.go
+++ b/internal/gate/peers.go
@@ -23,6 +23,7 @@
 
 	"micaspindle/internal/content"
 	"micaspindle/internal/gate/inspection"
+	"micaspindle/internal/retry"
 )
 
 // peerMark is in the metadata of calls between gates. Such a call is answered
@@ -41,10 +42,12 @@
 	// peerTime bounds a small call to another gate; one that does not answer is
 	// passed over.
 	peerTime = 2 * time.Second
-	// peerRest is how long a gate that did not answer is left alone.
-	peerRest = 3 * time.Second
 )
 
+// peerRest is for how long a gate that did not answer is left alone; the longer it
+// does not, the longer.
+var peerRest = retry.Backoff{First: 3 * time.Second, Most: 6 * time.Second}
+
 // Peers are the other gates. A blob is written to some of them before the client
 // is answered, and read from any that has it.
 type Peers struct {
@@ -58,13 +61,12 @@
 }
 
 type peerGate struct {
-	addr  string
-	cas   repb.ContentAddressableStorageClient
-	ac    repb.ActionCacheClient
-	bytes bytestream.ByteStreamClient
-	mates inspection.NeighboursClient
-	// rests until, in milliseconds since 1970.
-	rests   atomic.Int64
+	addr    string
+	cas     repb.ContentAddressableStorageClient
+	ac      repb.ActionCacheClient
+	bytes   bytestream.ByteStreamClient
+	mates   inspection.NeighboursClient
+	circuit retry.Circuit
 	silence silence
 }
 
@@ -129,7 +131,7 @@
 
 // timeFor is how long a call to a gate may take that would have a limit.
 func (g *peerGate) timeFor(limit time.Duration) time.Duration {
-	if g.rests.Load() > time.Now().UnixMilli() {
+	if g.circuit.Open(time.Now()) {
 		return min(limit, brief)
 	}
 	return limit
@@ -154,7 +156,7 @@
 func NewPeers(copies int, conns map[string]*grpc.ClientConn, log *slog.Logger) *Peers {
 	p := &Peers{Copies: copies, log: log}
 	for addr, c := range conns {
-		p.gates = append(p.gates, &peerGate{addr: addr, cas: repb.NewContentAddressableStorageClient(c), ac: repb.NewActionCacheClient(c), bytes: bytestream.NewByteStreamClient(c), mates: inspection.NewNeighboursClient(c)})
+		p.gates = append(p.gates, &peerGate{addr: addr, circuit: retry.Circuit{Rest: peerRest, Who: addr}, cas: repb.NewContentAddressableStorageClient(c), ac: repb.NewActionCacheClient(c), bytes: bytestream.NewByteStreamClient(c), mates: inspection.NewNeighboursClient(c)})
 	}
 	return p
 }
@@ -165,8 +167,8 @@
 	if p == nil {
 		return nil
 	}
-	now := time.Now().UnixMilli()
-	return slices.DeleteFunc(p.rank(hash), func(g *peerGate) bool { return g.rests.Load() > now })
+	now := time.Now()
+	return slices.DeleteFunc(p.rank(hash), func(g *peerGate) bool { return g.circuit.Open(now) })
 }
 
 // rank are all other gates in the digest's order.
@@ -194,9 +196,9 @@
 	defer cancel()
 	err := f(ctx)
 	if c := status.Code(err); c == codes.Unavailable || c == codes.DeadlineExceeded && ctx.Err() != nil {
-		g.rests.Store(time.Now().Add(peerRest).UnixMilli())
+		g.circuit.Done(time.Now(), false)
 	} else if err == nil {
-		g.rests.Store(0)
+		g.circuit.Done(time.Now(), true)
 		g.silence.answered()
 	}
 	return err
