Controllers tell operators how they stand: /metrics and spindlectl top

Change: internal/observe measures every wait that people notice and counts what goes wrong, on a listener of the operators' own, off by default, with the right to view every queue where identities are on; internal/overview is one controller's account and its screen of 80 by 24; spindlectl top asks all controllers. The screen keeps its size in 200 random states.

--- a/cmd/micaspindle/main.go
+++ b/cmd/micaspindle/main.go
@@ -117,6 +117,14 @@
 		listeners[0].Secure = func() *tls.Config { return keys.Server(false) }
 		listeners[1].Secure = func() *tls.Config { return keys.Server(true) }
 	}
+	if op.Operations != nil {
+		ctl.Observe()
+		l := &transport.Listener{Addr: op.Operations.Listen, Handler: ctl.ServeOperations, MaxBody: 1 << 10, MaxConns: operatorsMost}
+		if keys != nil {
+			l.Secure = func() *tls.Config { return keys.Server(false) }
+		}
+		listeners = append(listeners, l)
+	}
 	err := transport.Run(ctx, listeners, func(e *transport.Engine) {
 		client.Attach(e)
 		log.Info("serving", "label", set.Label, "zone", set.Zone, "addr", set.ServeOn)
@@ -133,6 +141,9 @@
 	return nil
 }
 
+// operatorsMost is how many connections operators may hold.
+const operatorsMost = 16
+
 // identify turns identities on: TLS to users, workers and other controllers,
 // and a controller that asks who comes. The state service and the cloud are the
 // platform's and stay in the clear.
--- a/cmd/spindlelab/main.go
+++ b/cmd/spindlelab/main.go
@@ -168,6 +168,10 @@
 	}
 	defer stop()
 	addrs := strings.Join(c.Addrs(), ",")
+	var operations []string
+	for _, n := range c.Nodes() {
+		operations = append(operations, n.Operations)
+	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "CONTROLLER\tUSERS AND WORKERS\tPROCESS\tLOG")
 	for _, n := range c.Nodes() {
@@ -196,7 +200,8 @@
 %s  %s submit --team payments --class refund-batch --urgency high --tasks 8 --estimate 5s
   %s status job-ID --wait
   %s withdraw job-ID
-`, addrs, as, ctl, ctl, ctl)
+  %s top --operations %s
+`, addrs, as, ctl, ctl, ctl, ctl, strings.Join(operations, ","))
 	if gates := c.GateAddrs(); len(gates) > 0 {
 		fmt.Print(buildHints(self, gates, c.Hosted()))
 	}
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -130,6 +130,9 @@
 	return s
 }
 
+// Granted is how many changes a second this controller may write now.
+func (s *Store) Granted() float64 { return float64(s.writes.Limit()) }
+
 // Silence is how long ago the service last answered a request properly.
 func (s *Store) Silence() time.Duration {
 	return time.Since(s.start) - time.Duration(s.lastOK.Load())
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"micaspindle/internal/observe"
 	"strconv"
 	"time"
 
@@ -450,6 +451,7 @@
 	}
 	p.ready, p.order = true, nil
 	p.wake()
+	c.metrics.Took(observe.Takeover, now.Sub(p.claimed), now)
 	c.log.Info("part ready", "part", p.index, "live", live, "after", now.Sub(p.claimed))
 }
 
--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"micaspindle/internal/observe"
 	"strconv"
 	"time"
 
@@ -61,8 +62,10 @@
 			if len(b.doomed) > 0 {
 				commit = c.store.CommitAhead
 			}
+			begun := time.Now()
 			rev, err := commit(ctx, &b.txn)
 			cancel()
+			c.metrics.Took(observe.Commit, time.Since(begun), time.Now())
 			c.do(func() { c.committed(p, b, rev, err) })
 			if err == nil {
 				tries.Succeeded()
@@ -327,6 +330,10 @@
 		c.setFinal(j.spec.ID, protocol.StatusWithdrawn)
 	}
 	for _, j := range b.finals {
+		c.metrics.Took(observe.Finish, now.Sub(j.received), now)
+		if due, ok := j.deadline(); ok && now.After(due) {
+			c.metrics.Count(observe.Late, 1)
+		}
 		c.log.Info("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks, "after", now.Sub(j.received),
 			"due_s", j.spec.DeadlineS)
 		c.setFinal(j.spec.ID, protocol.StatusDone)
@@ -346,6 +353,7 @@
 		p.doubt = p.doubt || unknown
 	}
 	if unknown {
+		c.metrics.Count(observe.Unanswered, 1)
 		c.log.Info("commit unanswered", "part", p.index, "reason", err)
 		for _, m := range b.bumps {
 			// The watch or the next report shows whether it was applied.
@@ -357,6 +365,7 @@
 		c.log.Debug("commit refused", "part", p.index, "reason", err)
 		return
 	}
+	c.metrics.Count(observe.Conflict, 1)
 	for _, key := range conflict.Failed {
 		switch kind, id := bookkeeping.ParseKey(key); kind {
 		case bookkeeping.KindClaim:
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -16,6 +16,7 @@
 	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/coordination/parts"
+	"micaspindle/internal/observe"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/protocol/peer"
 	"micaspindle/internal/retry"
@@ -33,6 +34,8 @@
 	// cloudCircuit leaves its interface alone while it does not answer.
 	cloudCircuit retry.Circuit
 	log          *slog.Logger
+	// metrics measures what people notice; nil: nothing is measured.
+	metrics *observe.Metrics
 	// guard asks who comes; nil: everybody may do everything.
 	guard *guard
 	nonce string
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"micaspindle/internal/observe"
 	"slices"
 	"time"
 
@@ -29,6 +30,7 @@
 			reason = "team's limit"
 		}
 		c.log.Info("preempting", "task", a.wire(), "machine", a.machine.name, "for", j.spec.ID, "reason", reason)
+		c.metrics.Count(observe.Stopped, 1)
 		c.stopAttempt(a, a.job.spec.SaveS+1, now)
 	}
 }
--- a/internal/coordination/rent.go
+++ b/internal/coordination/rent.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"micaspindle/internal/observe"
 	"time"
 
 	"micaspindle/internal/bookkeeping"
@@ -18,6 +19,7 @@
 	r := &rental{kind: plan.Kind, part: plan.Part, count: min(plan.Count, 50)}
 	l.renting[name] = r
 	version := l.version
+	c.metrics.Count(observe.Rented, r.count)
 	c.log.Info("renting", "request", name, "type", r.kind.Type, "zone", r.kind.Zone, "spot", r.kind.Spot, "count", plan.Count, "part", r.part)
 	c.duty.Go(func() { c.finishRental(name, r, version) })
 }
@@ -43,6 +45,7 @@
 			})
 			return
 		case err == nil && (status == 503 || status == 400):
+			c.metrics.Count(observe.RentRefused, 1)
 			c.log.Info("rental refused", "request", name, "type", r.kind.Type, "zone", r.kind.Zone, "spot", r.kind.Spot, "status", status)
 			c.do(func() {
 				c.leader.refused[r.kind] = time.Now().Add(15 * time.Second)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -11,6 +11,7 @@
 	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/identity"
+	"micaspindle/internal/observe"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/rights"
 	"micaspindle/internal/transport"
@@ -32,7 +33,10 @@
 	}
 	// known runs h for somebody who has shown who it is.
 	known := func(want, verb string, h func(who *caller) transport.Response) transport.Response {
-		return method(want, func() transport.Response {
+		return method(want, func() (resp transport.Response) {
+			if c.metrics != nil {
+				defer c.answered(verb, time.Now(), &resp)
+			}
 			who, refusal := c.authenticate(req, verb)
 			if refusal != nil {
 				return *refusal
@@ -91,6 +95,22 @@
 	return refuse(404, "no such path", 0)
 }
 
+// answered measures a user's request.
+func (c *Controller) answered(verb string, begun time.Time, resp *transport.Response) {
+	now := time.Now()
+	switch verb {
+	case "submit":
+		c.metrics.Took(observe.Submission, now.Sub(begun), now)
+	case "view":
+		c.metrics.Took(observe.Poll, now.Sub(begun), now)
+	case "withdraw":
+		c.metrics.Took(observe.Withdrawal, now.Sub(begun), now)
+	}
+	if resp.Status >= 400 {
+		c.metrics.Count(observe.Refused, 1)
+	}
+}
+
 func (c *Controller) checkin(req *transport.Request) transport.Response {
 	who, refusal := c.worker(req)
 	if refusal != nil {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"micaspindle/internal/observe"
 	"slices"
 	"time"
 
@@ -142,6 +143,9 @@
 			if a.startedAt.IsZero() {
 				a.startedAt = now
 				a.job.running++
+				if !a.inherited {
+					c.metrics.Took(observe.Start, now.Sub(a.job.since()), now)
+				}
 			}
 			m.images[a.job.spec.Image] = now
 			c.compare(a, now.Sub(a.startedAt).Seconds())
@@ -224,6 +228,7 @@
 		j.failures++
 		m.errorJobs[j.spec.ID] = true
 		m.avoidTill = now.Add(10 * time.Second)
+		c.metrics.Count(observe.Failed, 1)
 		c.log.Info("task failed", "task", a.wire(), "machine", m.name, "failures", j.failures)
 		j.failedOn[m.name] = true
 		if len(j.failedOn) >= 2 {
@@ -555,6 +560,7 @@
 			continue
 		}
 		if (m.heard || len(m.attempts) > 0) && now.Sub(m.answeredBy) > bound {
+			c.metrics.Count(observe.MachineLost, 1)
 			c.log.Info("machine lost", "machine", m.name, "silent", now.Sub(m.lastHeard), "attempts", len(m.attempts))
 			m.lost, m.fenced = true, false
 			for _, a := range m.sorted() {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -151,6 +151,9 @@
 		log = slog.New(slog.NewTextHandler(w.t.Output(), &slog.HandlerOptions{Level: slog.LevelInfo})).With("node", label)
 	}
 	n.ctl = New(ctx, &set, w.op, &nodeNet{w, n, ctx}, log)
+	if w.op.Operations != nil {
+		n.ctl.Observe()
+	}
 	if w.ids != nil {
 		must(n.ctl.Identify(w.ids.identities(label)))
 	}
--- a/internal/lab/hosted.go
+++ b/internal/lab/hosted.go
@@ -11,8 +11,6 @@
 	"strings"
 	"time"
 
-	"go.yaml.in/yaml/v3"
-
 	"micaspindle/internal/client"
 	"micaspindle/internal/identity"
 	"micaspindle/internal/pki"
@@ -33,16 +31,17 @@
 // Hosted is the identities of a cluster: an authority in the cluster's folder,
 // certificates of controllers and machines, tokens of people.
 type Hosted struct {
-	Roots    string
-	CA       *pki.Authority
-	dir      string
-	operator string
+	Roots string
+	CA    *pki.Authority
+	dir   string
+	// settings are the controllers' identity section.
+	settings settings.Identity
 	worker   *identity.Keyring
 }
 
 // Prepare makes an authority and everything a cluster begins with.
 func Prepare(dir string, controllers int) (*Hosted, error) {
-	h := &Hosted{dir: filepath.Join(dir, "pki"), operator: filepath.Join(dir, "operator.yaml")}
+	h := &Hosted{dir: filepath.Join(dir, "pki")}
 	var err error
 	// A folder of an earlier cluster goes on with its authority.
 	if _, serr := os.Stat(filepath.Join(h.dir, pki.RootFile)); serr == nil {
@@ -71,14 +70,8 @@
 			return nil, err
 		}
 	}
-	out, err := yaml.Marshal(map[string]any{"identity": settings.Identity{Own: filepath.Join(h.dir, "controller-{label}.pem"), Roots: h.Roots,
-		TokenKeys: filepath.Join(h.dir, pki.TokenKeysFile), Cluster: clusterName, Bootstrap: Administrator}})
-	if err != nil {
-		return nil, err
-	}
-	if err := os.WriteFile(h.operator, out, 0o600); err != nil {
-		return nil, fmt.Errorf("lab: %w", err)
-	}
+	h.settings = settings.Identity{Own: filepath.Join(h.dir, "controller-{label}.pem"), Roots: h.Roots,
+		TokenKeys: filepath.Join(h.dir, pki.TokenKeysFile), Cluster: clusterName, Bootstrap: Administrator}
 	return h, nil
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -25,6 +25,7 @@
 	"syscall"
 	"time"
 
+	"go.yaml.in/yaml/v3"
 	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
@@ -81,9 +82,12 @@
 // Node is one controller's process.
 type Node struct {
 	Label, Addr, Peer, LogFile string
+	// Operations is where operators ask.
+	Operations string
 	// Kills counts how often it was killed.
 	Kills    int
 	settings string
+	operator string
 	cmd      *exec.Cmd
 	exited   <-chan struct{}
 }
@@ -141,7 +145,10 @@
 		if n.Peer, err = c.freeAddr(); err != nil {
 			return err
 		}
-		n.settings = filepath.Join(c.opt.Dir, n.Label+".json")
+		if n.Operations, err = c.freeAddr(); err != nil {
+			return err
+		}
+		n.settings, n.operator = filepath.Join(c.opt.Dir, n.Label+".json"), filepath.Join(c.opt.Dir, n.Label+".yaml")
 		n.LogFile = filepath.Join(c.opt.Dir, n.Label+".log")
 		c.nodes = append(c.nodes, n)
 	}
@@ -163,6 +170,16 @@
 		if err := os.WriteFile(n.settings, data, 0o600); err != nil {
 			return fmt.Errorf("lab: settings: %w", err)
 		}
+		operator := map[string]any{"operations": settings.Operations{Listen: n.Operations}}
+		if h := c.opt.Hosted; h != nil {
+			operator["identity"] = h.settings
+		}
+		if data, err = yaml.Marshal(operator); err != nil {
+			return fmt.Errorf("lab: settings: %w", err)
+		}
+		if err := os.WriteFile(n.operator, data, 0o600); err != nil {
+			return fmt.Errorf("lab: settings: %w", err)
+		}
 		if err := c.Restart(n); err != nil {
 			return err
 		}
@@ -292,13 +309,10 @@
 
 // Restart starts a controller that does not run.
 func (c *Cluster) Restart(n *Node) error {
-	args := []string{"--config", n.settings}
-	if c.opt.Hosted != nil {
-		args = append(args, "--operator", c.opt.Hosted.operator)
-	}
-	cmd := exec.Command(c.opt.Binary, args...)
+	cmd := exec.Command(c.opt.Binary, "--config", n.settings, "--operator", n.operator)
 	c.release(n.Addr)
 	c.release(n.Peer)
+	c.release(n.Operations)
 	exited, err := c.spawn(n.Label, n.LogFile, cmd)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/observe/observe_test.go
@@ -0,0 +1,45 @@
+package observe
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestMetrics(t *testing.T) {
+	var none *Metrics
+	none.Took(Start, time.Second, time.Now())
+	none.Count(Late, 1)
+	if none.Quantiles() != nil {
+		t.Error("the nil value has measured something")
+	}
+	m, now := New(), time.Unix(1000, 0)
+	for i := range 100 {
+		m.Took(Start, time.Duration(i+1)*100*time.Millisecond, now)
+	}
+	m.Took(Finish, -time.Second, now) // a clock that was set
+	m.Took(Finish, 1000*time.Hour, now)
+	m.Count(Late, 3)
+	q := m.Quantiles()
+	if len(q) != 2 || q[0].What != "start" || q[0].Count != 100 || q[0].P50 < 4.9 || q[0].P50 > 5.2 || q[0].P99 < 9.8 || q[0].Most > 10.2 {
+		t.Errorf("%+v", q)
+	}
+	var out bytes.Buffer
+	m.Write(&out, []Gauge{{"part_machines", `{part="0"}`, 7}})
+	for _, want := range []string{`micaspindle_wait_seconds_bucket{what="start",le="5"} 50`, `micaspindle_wait_seconds_count{what="start"} 100`,
+		"micaspindle_jobs_late_total 3", `micaspindle_part_machines{part="0"} 7`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%q is not in\n%s", want, out.String())
+		}
+	}
+	// Quantiles forget, the counts stay.
+	m.Took(Start, time.Second, now.Add(window))
+	if q := m.Quantiles(); q[0].Count != 101 {
+		t.Errorf("after a window %+v", q)
+	}
+	m.Took(Start, time.Second, now.Add(2*window))
+	if q := m.Quantiles(); len(q) != 1 || q[0].Count != 2 {
+		t.Errorf("after two windows %+v", q)
+	}
+}
--- /dev/null
+++ b/internal/overview/overview.go
@@ -0,0 +1,205 @@
+// Package overview is how a controller describes itself to operators, and how that
+// is shown on a screen. It asks nobody.
+package overview
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"micaspindle/internal/observe"
+)
+
+// View is what one controller says of itself and of the parts that it owns.
+type View struct {
+	Controller string  `msgpack:"controller" json:"controller"`
+	Zone       string  `msgpack:"zone" json:"zone"`
+	AtMS       int64   `msgpack:"at_ms" json:"at_ms"`
+	UpS        float64 `msgpack:"up_s" json:"up_s"`
+	Leads      bool    `msgpack:"leads" json:"leads"`
+	Ready      bool    `msgpack:"ready" json:"ready"`
+	// StateSilentS is how long ago the state service answered last.
+	StateSilentS float64 `msgpack:"state_silent_s" json:"state_silent_s"`
+	// WritesWanted of WritesGranted changes a second.
+	WritesWanted  float64 `msgpack:"writes_wanted" json:"writes_wanted"`
+	WritesGranted float64 `msgpack:"writes_granted" json:"writes_granted"`
+	CloudRests    bool    `msgpack:"cloud_rests" json:"cloud_rests"`
+	Jobs          int     `msgpack:"jobs" json:"jobs"`
+	Ended         int     `msgpack:"ended" json:"ended"`
+	Renting       int     `msgpack:"renting" json:"renting"`
+
+	Parts []Part              `msgpack:"parts" json:"parts"`
+	Teams []Team              `msgpack:"teams" json:"teams"`
+	Waits []observe.Quantiles `msgpack:"waits" json:"waits"`
+}
+
+// Part is a part that the controller owns.
+type Part struct {
+	Part     int     `msgpack:"part" json:"part"`
+	Ready    bool    `msgpack:"ready" json:"ready"`
+	Machines int     `msgpack:"machines" json:"machines"`
+	Idle     int     `msgpack:"idle" json:"idle"`
+	Coming   int     `msgpack:"coming" json:"coming"`
+	Bad      int     `msgpack:"bad" json:"bad"` // lost or set aside
+	Running  int     `msgpack:"running" json:"running"`
+	Waiting  int     `msgpack:"waiting" json:"waiting"`
+	OldestS  float64 `msgpack:"oldest_s" json:"oldest_s"`
+	// Used is the part of the CPUs that is in use.
+	Used float64 `msgpack:"used" json:"used"`
+}
+
+// Team is a team's use in a part of the controller's.
+type Team struct {
+	Name      string  `msgpack:"name" json:"name"`
+	Part      int     `msgpack:"part" json:"part"`
+	CPUs      float64 `msgpack:"cpus" json:"cpus"`
+	Guarantee float64 `msgpack:"guarantee" json:"guarantee"`
+	Limit     float64 `msgpack:"limit" json:"limit"`
+	Running   int     `msgpack:"running" json:"running"`
+	Waiting   int     `msgpack:"waiting" json:"waiting"`
+}
+
+// Row is a controller as it was asked: its view, or why there is none.
+type Row struct {
+	Addr string `json:"addr"`
+	View *View  `json:"view,omitempty"`
+	Err  string `json:"error,omitempty"`
+}
+
+// Screen is what all rows come to, on so many columns and lines.
+func Screen(rows []Row, now time.Time, width, height int) string {
+	var lines []string
+	add := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
+	leader, up := "nobody", 0
+	for _, r := range rows {
+		if r.View != nil {
+			up++
+			if r.View.Leads {
+				leader = r.View.Controller
+			}
+		}
+	}
+	add("micaspindle  %d of %d controllers answer, %s leads  %s", up, len(rows), leader, now.UTC().Format("15:04:05 UTC"))
+	add("")
+	add("%-12s %-9s %7s %5s %7s %6s %13s %s", "CONTROLLER", "ZONE", "UP", "JOBS", "ENDED", "RENTS", "WRITES/S", "STATE")
+	for _, r := range rows {
+		v := r.View
+		if v == nil {
+			add("%-22s %s", clip(r.Addr, 22), r.Err)
+			continue
+		}
+		add("%-12s %-9s %7s %5d %7d %6d %6.1f/%-6.1f %s", clip(v.Controller, 12), clip(v.Zone, 9), span(v.UpS), v.Jobs, v.Ended, v.Renting, v.WritesWanted, v.WritesGranted, v.state())
+	}
+	var parts []Part
+	owner := map[int]string{}
+	var teams []Team
+	var waits []observe.Quantiles
+	for _, r := range rows {
+		if r.View == nil {
+			continue
+		}
+		for _, p := range r.View.Parts {
+			parts = append(parts, p)
+			owner[p.Part] = r.View.Controller
+		}
+		teams = append(teams, r.View.Teams...)
+		waits = append(waits, r.View.Waits...)
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.Part, b.Part) })
+	add("")
+	add("%4s %-12s %8s %5s %6s %4s %5s %7s %7s %7s", "PART", "OWNER", "MACHINES", "IDLE", "COMING", "BAD", "CPUS", "RUNNING", "WAITING", "OLDEST")
+	for _, p := range parts {
+		who := owner[p.Part]
+		if !p.Ready {
+			who += " (taking over)"
+		}
+		add("%4d %-12s %8d %5d %6d %4d %4.0f%% %7d %7d %7s", p.Part, clip(who, 12), p.Machines, p.Idle, p.Coming, p.Bad, 100*p.Used, p.Running, p.Waiting, span(p.OldestS))
+	}
+	if len(parts) == 0 {
+		add("no part is owned by a controller that answers")
+	}
+	worst := worstWaits(waits)
+	add("")
+	add("%-12s %8s %9s %9s %9s", "WAIT FOR", "COUNT", "HALF IN", "99% IN", "LONGEST")
+	for _, w := range worst {
+		add("%-12s %8d %9s %9s %9s", w.What, w.Count, short(w.P50), short(w.P99), short(w.Most))
+	}
+	slices.SortFunc(teams, func(a, b Team) int {
+		return cmp.Or(cmp.Compare(b.Waiting, a.Waiting), cmp.Compare(b.CPUs, a.CPUs), cmp.Compare(a.Name, b.Name))
+	})
+	add("")
+	add("%-24s %4s %9s %9s %9s %7s %7s", "TEAM", "PART", "CPUS", "HAS", "AT MOST", "RUNNING", "WAITING")
+	for i, t := range teams {
+		if left := len(teams) - i; len(lines) >= height-1 && left > 1 {
+			add("and %d teams more", left)
+			break
+		}
+		most := "-"
+		if t.Limit > 0 {
+			most = fmt.Sprintf("%.0f", t.Limit)
+		}
+		add("%-24s %4d %9.0f %9.0f %9s %7d %7d", clip(t.Name, 24), t.Part, t.CPUs, t.Guarantee, most, t.Running, t.Waiting)
+	}
+	for i, l := range lines {
+		lines[i] = strings.TrimRight(clip(l, width), " ")
+	}
+	return strings.Join(lines[:min(len(lines), height)], "\n")
+}
+
+// state says in a word what is wrong, if something is.
+func (v *View) state() string {
+	switch {
+	case v.StateSilentS > 2:
+		return "no state " + span(v.StateSilentS)
+	case !v.Ready:
+		return "not ready"
+	case v.CloudRests:
+		return "no cloud"
+	}
+	return "ok"
+}
+
+// worstWaits puts what several controllers measured together: the slowest counts.
+func worstWaits(all []observe.Quantiles) []observe.Quantiles {
+	var out []observe.Quantiles
+	for _, q := range all {
+		i := slices.IndexFunc(out, func(o observe.Quantiles) bool { return o.What == q.What })
+		if i < 0 {
+			out = append(out, q)
+			continue
+		}
+		o := &out[i]
+		o.Count, o.P50, o.P99, o.Most = o.Count+q.Count, max(o.P50, q.P50), max(o.P99, q.P99), max(o.Most, q.Most)
+	}
+	return out
+}
+
+func clip(s string, n int) string {
+	if r := []rune(s); len(r) > n {
+		return string(r[:n])
+	}
+	return s
+}
+
+// span is a time in a few characters.
+func span(s float64) string {
+	d := time.Duration(s * float64(time.Second))
+	switch {
+	case d < time.Minute:
+		return fmt.Sprintf("%ds", int(d.Seconds()))
+	case d < time.Hour:
+		return fmt.Sprintf("%dm%02ds", int(d.Minutes()), int(d.Seconds())%60)
+	case d < 48*time.Hour:
+		return fmt.Sprintf("%dh%02dm", int(d.Hours()), int(d.Minutes())%60)
+	}
+	return fmt.Sprintf("%dd", int(d.Hours()/24))
+}
+
+func short(s float64) string {
+	if s < 10 {
+		return fmt.Sprintf("%.3gs", s)
+	}
+	return span(s)
+}
--- /dev/null
+++ b/internal/overview/overview_test.go
@@ -0,0 +1,65 @@
+package overview
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"micaspindle/internal/observe"
+)
+
+func view(i int) *View {
+	v := &View{Controller: fmt.Sprint("spindle-", i), Zone: "windhoek", UpS: 100_000, Ready: true, Leads: i == 1, Jobs: 40, Ended: 123_456, WritesWanted: 12.34, WritesGranted: 80}
+	v.Parts = []Part{{Part: i, Ready: true, Machines: 798, Idle: 12, Used: 0.876, Running: 12_345, Waiting: 99_999, OldestS: 4000}}
+	v.Teams = []Team{{Name: fmt.Sprint("placements-desk-", i), Part: i, CPUs: 1200, Guarantee: 100, Limit: 2000, Running: 40, Waiting: i}}
+	v.Waits = []observe.Quantiles{{What: "start", Count: 10, P50: float64(i), P99: 100, Most: 4000}}
+	return v
+}
+
+func TestScreen(t *testing.T) {
+	rows := []Row{{Addr: "a:1", View: view(0)}, {Addr: "a:2", View: view(1)}, {Addr: "a:3", Err: "no controller answered"}}
+	rows[0].View.StateSilentS = 65
+	text := Screen(rows, time.Unix(0, 0), 80, 24)
+	for _, want := range []string{"2 of 3 controllers answer, spindle-1 leads", "no state 1m05s", "no controller answered",
+		"   1 spindle-1         798    12", "start              20        1s", "placements-desk-1           1      1200       100      2000      40       1"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not on\n%s", want, text)
+		}
+	}
+	if none := Screen(nil, time.Unix(0, 0), 80, 24); !strings.Contains(none, "no part is owned") {
+		t.Error(none)
+	}
+}
+
+// Whatever is shown stays on the screen.
+func TestScreensOfAllSizes(t *testing.T) {
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var rows []Row
+		for i := range rng.IntN(12) {
+			r := Row{Addr: strings.Repeat("long.", 10) + fmt.Sprint(i)}
+			if rng.IntN(3) > 0 {
+				r.View = view(i)
+				r.View.Controller = strings.Repeat("ö", rng.IntN(40))
+				for range rng.IntN(30) {
+					r.View.Teams = append(r.View.Teams, Team{Name: "t"})
+				}
+			} else {
+				r.Err = strings.Repeat("error ", 30)
+			}
+			rows = append(rows, r)
+		}
+		width, height := 20+rng.IntN(200), 5+rng.IntN(60)
+		lines := strings.Split(Screen(rows, time.Now(), width, height), "\n")
+		if len(lines) > height {
+			t.Errorf("seed %d: %d lines of %d", seed, len(lines), height)
+		}
+		for _, l := range lines {
+			if n := len([]rune(l)); n > width {
+				t.Errorf("seed %d: %d columns of %d: %s", seed, n, width, l)
+			}
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -249,6 +249,15 @@
 	// Identity makes the controller ask who comes; absent: everybody may do
 	// everything, over connections in the clear.
 	Identity *Identity `yaml:"identity"`
+	// Operations is where the controller tells operators how it stands; absent: it
+	// measures and tells nothing.
+	Operations *Operations `yaml:"operations"`
+}
+
+// Operations is the operators' listener.
+type Operations struct {
+	// Listen is an address, HOST:PORT.
+	Listen string `yaml:"listen"`
 }
 
 // Identity is where a controller's proof of itself and its roots of trust lie.
@@ -300,6 +309,15 @@
 	case op.ClaimTTL < time.Second || op.ClaimTTL > 10*time.Minute:
 		return op, errors.New("operator settings: claim_ttl: must lie between 1s and 10m")
 	}
+	if o := op.Operations; o != nil {
+		host, _, err := net.SplitHostPort(o.Listen)
+		if err != nil {
+			return op, fmt.Errorf("operator settings: operations.listen: %q is no HOST:PORT", o.Listen)
+		}
+		if ip := net.ParseIP(host); op.Identity == nil && (ip == nil || !ip.IsLoopback()) {
+			return op, fmt.Errorf("operator settings: operations.listen: %s: without identities only a loopback address may tell", o.Listen)
+		}
+	}
 	if id := op.Identity; id != nil {
 		switch {
 		case id.Own == "":
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/x509"
 	"errors"
 	"fmt"
@@ -55,6 +56,8 @@
 	Body       []byte
 	RetryAfter int
 	Close      bool
+	// Type is the body's content type, "" MessagePack.
+	Type string
 }
 
 type head struct {
@@ -265,7 +268,9 @@
 	dst = strconv.AppendInt(dst, int64(r.Status), 10)
 	dst = append(dst, ' ')
 	dst = append(dst, reasons[r.Status]...)
-	dst = append(dst, "\r\nContent-Type: application/msgpack\r\nContent-Length: "...)
+	dst = append(dst, "\r\nContent-Type: "...)
+	dst = append(dst, cmp.Or(r.Type, "application/msgpack")...)
+	dst = append(dst, "\r\nContent-Length: "...)
 	dst = strconv.AppendInt(dst, int64(len(r.Body)), 10)
 	if r.RetryAfter > 0 {
 		dst = append(dst, "\r\nRetry-After: "...)
