--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -219,9 +219,10 @@
 }
 
 // Pauses after a failure, by duty. Those of a state service that refuses stay short:
-// its budget makes duties wait already.
+// its budget makes duties wait already. Those of commits don't grow at all: users
+// notice, docs/retries.md has the figures.
 var (
-	commitPause  = retry.Backoff{First: 200 * time.Millisecond, Most: 400 * time.Millisecond}
+	commitPause  = retry.Backoff{First: 200 * time.Millisecond, Most: 200 * time.Millisecond}
 	followPause  = retry.Backoff{First: 250 * time.Millisecond, Most: 400 * time.Millisecond}
 	rebuildPause = retry.Backoff{First: 250 * time.Millisecond, Most: 400 * time.Millisecond}
 	recordPause  = retry.Backoff{First: 600 * time.Millisecond, Most: 1200 * time.Millisecond}
