--- a/internal/gate/actions.go
+++ b/internal/gate/actions.go
@@ -104,7 +104,7 @@
 					}
 				}
 				return nil
-			}); err != nil {
+			}, nil); err != nil {
 				return nil, err
 			}
 		}
@@ -136,26 +136,34 @@
 	return out, nil
 }
 
-// walk reads the directories below a root, each once.
-func (g *Gate) walk(ctx context.Context, instance, space string, root content.Digest, see func(content.Digest, *repb.Directory) error) error {
+// walk reads the directories below a root, each once. Those that are nowhere go to
+// lost; nil: the first one ends the walk.
+func (g *Gate) walk(ctx context.Context, instance, space string, root content.Digest, see func(content.Digest, *repb.Directory) error, lost func(content.Digest)) error {
 	queue := []content.Digest{root}
 	seen := map[content.Digest]bool{root: true}
 	for len(queue) > 0 {
 		at := queue[0]
 		queue = queue[1:]
 		raw, err := g.read(ctx, instance, content.Key{Space: space, Digest: at}, maxTreeNode)
+		if errors.Is(err, content.ErrNotFound) && lost != nil {
+			lost(at)
+			continue
+		}
 		if err != nil {
 			return err
 		}
-		function, dir := at.Function, new(repb.Directory)
+		dir := new(repb.Directory)
 		if err := proto.Unmarshal(raw, dir); err != nil {
-			return content.ErrNotFound
+			if lost == nil {
+				return content.ErrNotFound // a result that names it is worth nothing
+			}
+			return fmt.Errorf("%w: blob %s is no directory", content.ErrInvalid, at)
 		}
 		if err := see(at, dir); err != nil {
 			return err
 		}
 		for _, sub := range dir.GetDirectories() {
-			next := digestIn(function, sub.GetDigest())
+			next := digestIn(at.Function, sub.GetDigest())
 			if err := next.Check(); err != nil {
 				return err
 			}
--- a/internal/gate/execute.go
+++ b/internal/gate/execute.go
@@ -158,35 +158,16 @@
 		return nil, nil, err
 	}
 	var files, missing []content.Digest
-	queue := []content.Digest{digestIn(function, action.GetInputRootDigest())}
-	seen := map[content.Digest]bool{queue[0]: true}
-	for len(queue) > 0 {
-		at := queue[0]
-		queue = queue[1:]
-		dir := new(repb.Directory)
-		if err := get(at, dir); err != nil {
-			if status.Code(err) == codes.FailedPrecondition {
-				missing = append(missing, at)
-				continue
-			}
-			return nil, nil, err
-		}
-		if err := checkDirectory(dir); err != nil {
-			return nil, nil, err
-		}
+	if err := g.walk(ctx, instance, space, digestIn(function, action.GetInputRootDigest()), func(_ content.Digest, dir *repb.Directory) error {
 		for _, f := range dir.GetFiles() {
 			files = append(files, digestIn(function, f.GetDigest()))
 		}
-		for _, sub := range dir.GetDirectories() {
-			next := digestIn(function, sub.GetDigest())
-			if !seen[next] {
-				seen[next] = true
-				queue = append(queue, next)
-			}
-		}
-		if len(seen)+len(files) > maxDigests {
-			return nil, nil, status.Errorf(codes.InvalidArgument, "the input root has more than %d entries", maxDigests)
+		if len(files) > maxDigests {
+			return status.Errorf(codes.InvalidArgument, "the input root has more than %d files", maxDigests)
 		}
+		return checkDirectory(dir)
+	}, func(lost content.Digest) { missing = append(missing, lost) }); err != nil {
+		return nil, nil, failure(err)
 	}
 	missing = append(missing, g.missing(ctx, instance, space, files)...)
 	if len(missing) > 0 {
