--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -76,13 +76,10 @@
 	scarce   fit.Scarcity
 	scarceAt time.Time
 	said     said
-	// toFence are machines that wait to be fenced, fences how many are now.
-	toFence []*machine
-	fences  int
-	sorting sorting
-	placing placing
-	policy  policyRecords
-	queues  queueBook
+	sorting  sorting
+	placing  placing
+	policy   policyRecords
+	queues   queueBook
 	// writeDemand is how many changes a second this controller wants.
 	writeDemand float64
 	// fresh is when a listing or watch was asked for whose answer is taken in:
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -187,7 +187,6 @@
 	ownedSince   time.Time // since when its owner could have heard it
 	wantBump     bool
 	sending      bool
-	fencing      bool // waits to be fenced
 	again        bool
 	lastOrders   time.Time
 	attempts     map[string]*attempt // by wire name and number
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -481,37 +481,11 @@
 
 // fence raises the worker's token by orders without commands, without waiting
 // for its next report, so that nobody older commands it any more (7).
-//
-// At a takeover all machines of a part are fenced. So many calls at once would take
-// the processor and the sockets that users wait for: a few are under way at a time,
-// and machines that report meanwhile, which fences them too, are passed over.
 func (c *Controller) fence(m *machine) {
 	m.fenced = false
-	if m.sending || m.rec.Addr == "" || m.lost || m.fencing {
+	if m.sending || m.rec.Addr == "" || m.lost {
 		return
 	}
-	m.fencing = true
-	c.toFence = append(c.toFence, m)
-	c.pumpFences()
-}
-
-// fencesMost is how many machines are fenced at a time.
-const fencesMost = 32
-
-func (c *Controller) pumpFences() {
-	for c.fences < fencesMost && len(c.toFence) > 0 {
-		m := c.toFence[0]
-		c.toFence = c.toFence[1:]
-		m.fencing = false
-		if m.fenced || m.sending || m.lost || c.machines[m.name] != m || !c.parts[m.rec.Part].mine {
-			continue
-		}
-		c.fences++
-		c.fenceNow(m)
-	}
-}
-
-func (c *Controller) fenceNow(m *machine) {
 	m.sending = true
 	orders := protocol.Orders{Token: c.token(m), Session: max(m.session, 1), Commands: []protocol.Command{}}
 	addr := m.rec.Addr
@@ -523,8 +497,6 @@
 		}
 		c.do(func() {
 			m.sending = false
-			c.fences--
-			defer c.pumpFences()
 			if err != nil {
 				c.log.Debug("fencing failed", "machine", m.name, "reason", err)
 				return
