A takeover makes fewer small things

Need: a takeover of 10,000 tasks should take under 50 ms of processor time. Change: the room of a decoded record serves the next one; maps of where a job failed and how long its tasks ran are made when there is something to put in.

--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -388,10 +388,12 @@
 		}
 	}
 	live := 0
+	var run bookkeeping.Run // its room serves all records
 	for _, it := range runs {
 		id, index, err := bookkeeping.ParseRunKey(it.Key)
 		j := c.jobs[id]
-		var run bookkeeping.Run
+		clear(run.Live)
+		run = bookkeeping.Run{Done: run.Done[:0], Live: run.Live[:0]}
 		if err == nil {
 			err = bookkeeping.Decode(it.Value, &run)
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -521,7 +521,7 @@
 	j.owned = true
 	j.done = make([]bool, j.spec.Tasks)
 	j.doneCount, j.running, j.finishing = 0, 0, false
-	j.live, j.chunks, j.failedOn, j.ranS = map[int]*attempt{}, map[int]*chunk{}, map[string]bool{}, map[string][]float64{}
+	j.live, j.chunks, j.failedOn, j.ranS = map[int]*attempt{}, map[int]*chunk{}, nil, nil
 	j.queue = make([]int, j.spec.Tasks)
 	for i := range j.queue {
 		j.queue[i] = i
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -83,8 +83,8 @@
 	live      map[int]*attempt
 	chunks    map[int]*chunk
 	failures  int
-	failedOn  map[string]bool
-	ranS      map[string][]float64 // run times of done tasks, by machine
+	failedOn  map[string]bool      // nil: nowhere
+	ranS      map[string][]float64 // run times of done tasks, by machine; nil: none is done
 	holdTill  time.Time
 	running   int
 	// touched: some record has changed since it was last seen that none has.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -214,6 +214,9 @@
 			if !a.slow {
 				m.slowTasks = 0
 			}
+			if j.ranS == nil {
+				j.ranS = map[string][]float64{}
+			}
 			j.ranS[m.name] = append(j.ranS[m.name], ran)
 		}
 		j.failures = 0
@@ -230,6 +233,9 @@
 		m.avoidTill = now.Add(10 * time.Second)
 		c.metrics.Count(observe.Failed, 1)
 		c.log.Info("task failed", "task", a.wire(), "machine", m.name, "failures", j.failures)
+		if j.failedOn == nil {
+			j.failedOn = map[string]bool{}
+		}
 		j.failedOn[m.name] = true
 		if len(j.failedOn) >= 2 {
 			// It fails on different machines: the job may be at fault, so it
