Jobs that come to want something are sorted at once; pauses around what they were

Cause: within the 0.2 s that an order is kept, such jobs were served last; their ends, which free their team's room, went on record a batch later. Change: the order is made anew as soon as another job wants something; controllers' pauses are spread around what they were and don't grow, the circuit opens after ten failures. A test without the bench guards the order.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -218,22 +218,22 @@
 	}
 }
 
-// Pauses after a failure, by duty. Those of a state service that refuses stay short:
-// its budget makes duties wait already. Those of commits don't grow at all: users
-// notice, docs/retries.md has the figures.
+// Pauses after a failure, by duty. They are spread and don't grow: the state service's
+// budget makes duties wait already, and growing ones cost users what docs/retries.md
+// says.
 var (
 	commitPause  = retry.Backoff{First: 200 * time.Millisecond, Most: 200 * time.Millisecond}
-	followPause  = retry.Backoff{First: 250 * time.Millisecond, Most: 400 * time.Millisecond}
-	rebuildPause = retry.Backoff{First: 250 * time.Millisecond, Most: 400 * time.Millisecond}
-	recordPause  = retry.Backoff{First: 600 * time.Millisecond, Most: 1200 * time.Millisecond}
-	cloudPause   = retry.Backoff{First: 1200 * time.Millisecond, Most: 2400 * time.Millisecond}
+	followPause  = retry.Backoff{First: 266 * time.Millisecond, Most: 266 * time.Millisecond}
+	rebuildPause = retry.Backoff{First: 266 * time.Millisecond, Most: 266 * time.Millisecond}
+	recordPause  = retry.Backoff{First: 666 * time.Millisecond, Most: 666 * time.Millisecond}
+	cloudPause   = retry.Backoff{First: 1333 * time.Millisecond, Most: 1333 * time.Millisecond}
 	// cloudRest is how long the cloud's interface is left alone after it did not
-	// answer several times in a row.
-	cloudRest = retry.Backoff{First: time.Second, Most: 2 * time.Second}
+	// answer many times in a row.
+	cloudRest = retry.Backoff{First: 600 * time.Millisecond, Most: 600 * time.Millisecond}
 )
 
 // cloudFailures is how many times in a row that is.
-const cloudFailures = 3
+const cloudFailures = 10
 
 // tries counts the failures of one of this controller's duties.
 func (c *Controller) tries(duty string, pauses retry.Backoff) *retry.Tries {
--- a/internal/coordination/inorder.go
+++ b/internal/coordination/inorder.go
@@ -13,46 +13,36 @@
 
 // inOrder lists the jobs of a part that want something, in the order in which they
 // are served: those with waiting tasks, with records to write, or at their end. The
-// list is kept for a moment, so that events do not each sort all jobs again; what
-// comes to want something meanwhile is served after it.
+// list is kept for a moment, so that events do not each sort all jobs again, unless
+// another job comes to want something: served last, its tasks would find the room
+// taken, and its ends would be on record, and its team's room be free, a batch later.
 func (c *Controller) inOrder(p *part) []*job {
 	now := time.Now()
 	// The room for both is that of the last time.
 	list, views := c.sorting.jobs[:0], c.sorting.views[:0]
 	gone := func(j *job) bool { return !j.owned || c.jobs[j.spec.ID] != j }
-	if p.order != nil && now.Sub(p.orderedAt) < orderFor {
+	wants := func(j *job) bool { return j.active() && !gone(j) }
+	if p.order != nil && now.Sub(p.orderedAt) < orderFor && !slices.ContainsFunc(p.rest, wants) {
 		p.order = slices.DeleteFunc(p.order, gone)
-		p.rest = slices.DeleteFunc(p.rest, func(j *job) bool {
-			if gone(j) {
-				return true
-			}
-			if j.active() {
-				list, views = append(list, j), append(views, c.forOrder(j))
-				return true
-			}
-			return false
-		})
-	} else {
-		p.order, p.rest, p.orderedAt = []*job{}, p.rest[:0], now
-		for _, j := range c.jobs {
-			switch {
-			case j.part != p.index || !j.owned || j.blocked:
-			case j.active():
-				j.touched = j.dirty()
-				list, views = append(list, j), append(views, c.forOrder(j))
-			default:
-				p.rest = append(p.rest, j)
-			}
+		return slices.Clone(p.order)
+	}
+	p.order, p.rest, p.orderedAt = []*job{}, p.rest[:0], now
+	for _, j := range c.jobs {
+		switch {
+		case j.part != p.index || !j.owned || j.blocked:
+		case j.active():
+			j.touched = j.dirty()
+			list, views = append(list, j), append(views, c.forOrder(j))
+		default:
+			p.rest = append(p.rest, j)
 		}
 	}
 	c.sorting = sorting{list, views}
-	if len(list) > 0 {
-		c.fillContest(p, list, views)
-		for _, at := range order.Of(views, now) {
-			p.order = append(p.order, list[at])
-		}
-		clear(list) // jobs that end are not held
+	c.fillContest(p, list, views)
+	for _, at := range order.Of(views, now) {
+		p.order = append(p.order, list[at])
 	}
+	clear(list) // jobs that end are not held
 	return slices.Clone(p.order)
 }
 
--- a/internal/coordination/policy_test.go
+++ b/internal/coordination/policy_test.go
@@ -148,3 +148,27 @@
 		w.finish(10 * time.Minute)
 	})
 }
+
+// Guards against a fall of users' figures by 0.01: a job that came to want something
+// while the order was kept was served last, so that lower work took the room first, and
+// its ends, which free its team's room, went on record a batch later.
+func TestWhoComesToWantSomethingKeepsHisPlace(t *testing.T) {
+	c, p := owner(t)
+	high, low := spec("job-1", 1, "green"), spec("job-2", 1, "green")
+	high.Urgency = protocol.High
+	first, second := c.take(high), c.take(low)
+	first.queue, first.touched = nil, false // all of it runs, and is on record
+	if list := c.inOrder(p); len(list) != 1 || list[0] != second {
+		t.Fatalf("%d jobs want something", len(list))
+	}
+	first.requeue(0)
+	if list := c.inOrder(p); len(list) != 2 || list[0] != first {
+		t.Error("a task that waits again is served after lower work")
+	}
+	p.order, first.queue = nil, nil
+	c.inOrder(p)
+	first.touch(0, false, time.Now())
+	if list := c.inOrder(p); len(list) != 2 || list[0] != first {
+		t.Error("a record that changed is written after lower work's")
+	}
+}
