One share of a team and one rule of its limit; one count of how long an attempt ran

Need: placement and preemption each had the same check of a team's limit over amounts of their own, beside the loop's quota, and three places worked out how long an attempt has run. Change: fit.Share with Allows and Add serves all three; attempt.ranS the others.

--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -423,7 +423,7 @@
 				state: attemptCommitted, committed: now, inherited: true}
 			j.live[r.Task] = a
 			m.attempts[attemptKey(a.wire(), a.number)] = a
-			p.usage[j.team].add(j.spec, 1)
+			p.usage[j.team].Add(needOf(j.spec), 1)
 			live++
 		}
 	}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -140,7 +140,7 @@
 	slices.Sort(c.labels)
 	c.self = slices.Index(c.labels, set.Label)
 	for i := range p.Count {
-		c.parts = append(c.parts, &part{index: i, kick: make(chan struct{}, 1), usage: make([]quota, len(p.Teams))})
+		c.parts = append(c.parts, &part{index: i, kick: make(chan struct{}, 1), usage: make([]fit.Share, len(p.Teams))})
 	}
 	for _, i := range c.teamPart {
 		c.parts[i].loaded = true
--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -153,7 +153,7 @@
 	}
 	c.place(p, now)
 	c.preempt(p, now)
-	if len(j.live) > 0 || p.usage[j.team].cpus != first.spec.CPUs {
+	if len(j.live) > 0 || p.usage[j.team].CPUs != first.spec.CPUs {
 		t.Errorf("%d attempts, usage %v", len(j.live), p.usage[j.team])
 	}
 	if d := c.partSummary(p, now).Demands; len(d) > 0 {
--- a/internal/coordination/estimates.go
+++ b/internal/coordination/estimates.go
@@ -42,11 +42,7 @@
 	var tasks []procon.Task
 	for _, a := range m.attempts {
 		if a.live() {
-			elapsed := 0.0
-			if !a.startedAt.IsZero() {
-				elapsed = now.Sub(a.startedAt).Seconds()
-			}
-			tasks = append(tasks, c.prediction(a.job.spec, elapsed))
+			tasks = append(tasks, c.prediction(a.job.spec, a.ranS(now)))
 		}
 	}
 	return tasks
@@ -61,11 +57,7 @@
 	if a.job.spec.Standing {
 		return c.horizon().MaxS
 	}
-	elapsed := 0.0
-	if !a.startedAt.IsZero() {
-		elapsed = now.Sub(a.startedAt).Seconds()
-	}
-	return max(c.estimate(a.job.spec)-elapsed, c.reportS.Seconds())
+	return max(c.estimate(a.job.spec)-a.ranS(now), c.reportS.Seconds())
 }
 
 const (
--- a/internal/coordination/fit/fit.go
+++ b/internal/coordination/fit/fit.go
@@ -38,6 +38,20 @@
 	return max(most, 0)
 }
 
+// Share is what a team uses, or may use, of what is shared out.
+type Share struct{ CPUs, GPUs float64 }
+
+// Add adds so many times a need.
+func (s *Share) Add(need Amounts, times float64) {
+	s.CPUs, s.GPUs = s.CPUs+times*need.CPUs, s.GPUs+times*need.GPUs
+}
+
+// Allows says whether one more task keeps a team within this limit; 0 is none.
+func (limit Share) Allows(used Share, need Amounts) bool {
+	return (limit.CPUs <= 0 || used.CPUs+need.CPUs <= limit.CPUs+Epsilon) &&
+		(limit.GPUs <= 0 || used.GPUs+need.GPUs <= limit.GPUs+Epsilon)
+}
+
 // Size is what an empty machine of a type has.
 func Size(t *protocol.MachineType) Amounts { return Amounts{t.CPUs, t.GPUs, t.MemGB} }
 
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -49,6 +49,14 @@
 
 func (a *attempt) wire() string { return protocol.TaskName(a.job.spec.ID, a.task) }
 
+// ranS is for how many seconds it has run, as far as is known here.
+func (a *attempt) ranS(now time.Time) float64 {
+	if a.startedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.startedAt).Seconds()
+}
+
 // live says that the attempt may still be or come to be on its machine.
 func (a *attempt) live() bool { return a.state < attemptEnded }
 
@@ -236,7 +244,8 @@
 	claimed time.Time
 	loaded  bool // some team's work is in it
 	kick    chan struct{}
-	usage   []quota // by team
+	// usage is what live attempts use, by team.
+	usage []fit.Share
 	// preempted is when work was last considered for stopping.
 	preempted time.Time
 	// doubt: some chunk's last write went unanswered.
@@ -246,6 +255,3 @@
 	order, rest []*job
 	orderedAt   time.Time
 }
-
-// quota counts what a team's live attempts use.
-type quota struct{ cpus, gpus float64 }
--- a/internal/coordination/operations.go
+++ b/internal/coordination/operations.go
@@ -57,7 +57,7 @@
 	}
 	for team, t := range c.set.Params.Teams {
 		if p := c.parts[c.teamPart[team]]; p.mine {
-			v.Teams = append(v.Teams, overview.Team{Name: t.Name, Part: p.index, CPUs: p.usage[team].cpus, Guarantee: t.CPUs, Limit: t.CPUsMax})
+			v.Teams = append(v.Teams, overview.Team{Name: t.Name, Part: p.index, CPUs: p.usage[team].CPUs, Guarantee: t.CPUs, Limit: t.CPUsMax})
 		}
 	}
 	for _, j := range c.jobs {
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -157,7 +157,7 @@
 			left[m] = m.free()
 		}
 	}
-	claimed := make([]quota, len(p.usage))
+	claimed := make([]fit.Share, len(p.usage))
 	for _, j := range c.inOrder(p) {
 		if len(j.queue) == 0 || j.withdrawn || now.Before(j.holdTill) {
 			continue
@@ -167,15 +167,15 @@
 		// Jobs of a team share what its limit leaves.
 		team, own := c.set.Params.Teams[j.team], &claimed[j.team]
 		if team.CPUsMax > 0 && s.CPUs > 0 {
-			n = min(n, int((team.CPUsMax-p.usage[j.team].cpus-own.cpus+fit.Epsilon)/s.CPUs))
+			n = min(n, int((team.CPUsMax-p.usage[j.team].CPUs-own.CPUs+fit.Epsilon)/s.CPUs))
 		}
 		if team.GPUsMax > 0 && s.GPUs > 0 {
-			n = min(n, int((team.GPUsMax-p.usage[j.team].gpus-own.gpus+fit.Epsilon)/s.GPUs))
+			n = min(n, int((team.GPUsMax-p.usage[j.team].GPUs-own.GPUs+fit.Epsilon)/s.GPUs))
 		}
 		if n <= 0 {
 			continue
 		}
-		own.add(s, float64(n))
+		own.Add(needOf(s), float64(n))
 		for _, m := range coming {
 			for n > 0 && wishOf(s).Allows(kindOf(m.rec)) && left[m].Holds(needOf(s)) {
 				left[m] = left[m].Plus(needOf(s), -1)
--- a/internal/coordination/place.go
+++ b/internal/coordination/place.go
@@ -3,8 +3,10 @@
 import (
 	"time"
 
+	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/coordination/placement"
 	"micaspindle/internal/coordination/procon"
+	"micaspindle/internal/settings"
 )
 
 // place gives waiting tasks to machines by least contention: it gathers what the
@@ -42,8 +44,7 @@
 	}
 	v.Of = usable
 	for team, t := range c.set.Params.Teams {
-		u := p.usage[team]
-		v.Teams = append(v.Teams, placement.Team{LimitCPUs: t.CPUsMax, LimitGPUs: t.GPUsMax, CPUs: u.cpus, GPUs: u.gpus})
+		v.Teams = append(v.Teams, placement.Team{Limit: limitOf(t), Used: p.usage[team]})
 	}
 	decided := placement.Decide(v)
 	for _, i := range decided.Wanted {
@@ -67,6 +68,8 @@
 	forMachines []placement.Machine
 }
 
+func limitOf(t settings.Team) fit.Share { return fit.Share{CPUs: t.CPUsMax, GPUs: t.GPUsMax} }
+
 // longFetch is the share of a run from which on fetching its image counts as
 // long.
 const longFetch = 0.15
@@ -156,7 +159,7 @@
 	for _, a := range j.live {
 		delete(a.machine.attempts, attemptKey(a.wire(), a.number))
 		a.machine.resources()
-		p.usage[j.team].add(j.spec, -1)
+		p.usage[j.team].Add(needOf(j.spec), -1)
 	}
 	clear(j.live)
 	for i, ch := range j.chunks {
@@ -175,7 +178,7 @@
 	a := &attempt{job: j, task: task, number: number, machine: m, session: m.session}
 	j.live[task] = a
 	m.attempts[attemptKey(a.wire(), a.number)] = a
-	p.usage[j.team].add(j.spec, 1)
+	p.usage[j.team].Add(needOf(j.spec), 1)
 	m.resources()
 	m.idleSince = now
 	j.touch(task, true, now)
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -47,7 +47,7 @@
 }
 
 // Team is what a team uses of its limit; a limit of 0 is none.
-type Team struct{ LimitCPUs, LimitGPUs, CPUs, GPUs float64 }
+type Team struct{ Limit, Used fit.Share }
 
 // Machines answers what is only asked of few.
 type Machines interface {
@@ -141,7 +141,7 @@
 	}
 	zones := r.zones(j)
 	for range j.Waiting {
-		if !r.allows(j) {
+		if t := &r.teams[j.Team]; !t.Limit.Allows(t.Used, j.Need) {
 			return
 		}
 		m := r.choose(j, zones)
@@ -161,7 +161,7 @@
 	before, team := slices.Clone(r.now), r.teams[j.Team]
 	for range j.Waiting {
 		m := -1
-		if r.allows(j) {
+		if t := &r.teams[j.Team]; t.Limit.Allows(t.Used, j.Need) {
 			m = r.choose(j, zones)
 		}
 		if m < 0 {
@@ -187,21 +187,13 @@
 	p.tasks = append(slices.Clip(p.tasks), j.Prediction)
 	p.images = append(slices.Clip(p.images), j.Image)
 	p.predicted = nil
-	t := &r.teams[j.Team]
-	t.CPUs, t.GPUs = t.CPUs+j.Need.CPUs, t.GPUs+j.Need.GPUs
+	r.teams[j.Team].Used.Add(j.Need, 1)
 	if zones != nil {
 		zones[r.Machines[m].Kind.Zone]++
 	}
 	r.plan.Start = append(r.plan.Start, Assignment{at, m})
 }
 
-// allows says whether one more task keeps the team within its limit.
-func (r *round) allows(j *Job) bool {
-	t := &r.teams[j.Team]
-	return (t.LimitCPUs <= 0 || t.CPUs+j.Need.CPUs <= t.LimitCPUs+fit.Epsilon) &&
-		(t.LimitGPUs <= 0 || t.GPUs+j.Need.GPUs <= t.LimitGPUs+fit.Epsilon)
-}
-
 // zones is where a job's tasks are, to be counted on; nil: it does not matter.
 func (r *round) zones(j *Job) map[string]int {
 	if !j.OneZone && !j.Spread {
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -53,8 +53,10 @@
 			v.Scarce.Needs("scarce", 1)
 			v.Jobs[0].Types = 3
 		}, Plan{Start: []Assignment{{0, 1}}}},
-		"not where it failed":     {func(v *View, k *known) { v.Jobs[0].Failed = map[string]bool{"a": true} }, Plan{Start: []Assignment{{0, 1}}}},
-		"within the team's limit": {func(v *View, k *known) { v.Jobs[0].Waiting, v.Teams[0] = 3, Team{LimitCPUs: 8, CPUs: 3.5} }, Plan{Start: []Assignment{{0, 0}, {0, 0}}}},
+		"not where it failed": {func(v *View, k *known) { v.Jobs[0].Failed = map[string]bool{"a": true} }, Plan{Start: []Assignment{{0, 1}}}},
+		"within the team's limit": {func(v *View, k *known) {
+			v.Jobs[0].Waiting, v.Teams[0] = 3, Team{Limit: fit.Share{CPUs: 8}, Used: fit.Share{CPUs: 3.5}}
+		}, Plan{Start: []Assignment{{0, 0}, {0, 0}}}},
 		"apart": {func(v *View, k *known) {
 			v.Jobs[0] = job(4, 1)
 			v.Jobs[0].Spread, v.Jobs[0].Zones = true, map[string]int{"x": 2}
@@ -72,7 +74,7 @@
 		}, Plan{Start: []Assignment{{1, 0}}, Wanted: []int{0, 0, 1, 1}}},
 		"a gang beyond its team's limit": {func(v *View, k *known) {
 			v.Jobs = []Job{job(2, 4)}
-			v.Jobs[0].Gang, v.Teams[0].LimitCPUs = true, 6
+			v.Jobs[0].Gang, v.Teams[0].Limit.CPUs = true, 6
 		}, Plan{Wanted: []int{0}}},
 		"no machine": {func(v *View, k *known) { v.Machines = nil }, Plan{}},
 	} {
@@ -99,7 +101,7 @@
 		build := func() View {
 			rng := rand.New(rand.NewPCG(seed, 2))
 			var k known
-			v := View{Teams: []Team{{}, {LimitCPUs: float64(rng.IntN(40))}}, Scarce: fit.Scarcity{}, Horizon: procon.Horizon{MaxS: 3600, OverdueS: 1}}
+			v := View{Teams: []Team{{}, {Limit: fit.Share{CPUs: float64(rng.IntN(40))}}}, Scarce: fit.Scarcity{}, Horizon: procon.Horizon{MaxS: 3600, OverdueS: 1}}
 			for i := range rng.IntN(8) {
 				v.Machines = append(v.Machines, machine(fmt.Sprint("m-", i), fmt.Sprint(rng.IntN(3)), float64(rng.IntN(17)), rng.IntN(2) == 0))
 				var tasks []procon.Task
@@ -144,7 +146,7 @@
 			count[a.Job]++
 		}
 		for team, u := range used {
-			if limit := v.Teams[team].LimitCPUs; limit > 0 && u > limit+fit.Epsilon {
+			if limit := v.Teams[team].Limit.CPUs; limit > 0 && u > limit+fit.Epsilon {
 				t.Errorf("seed %d: team %d uses %v of %v", seed, team, u, limit)
 			}
 		}
@@ -161,7 +163,7 @@
 				}
 			}
 			team := v.Teams[j.Team]
-			if count[i] == j.Waiting || j.Gang || j.OneZone || j.Spread || team.LimitCPUs > 0 {
+			if count[i] == j.Waiting || j.Gang || j.OneZone || j.Spread || team.Limit.CPUs > 0 {
 				continue
 			}
 			for m := range v.Machines {
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"micaspindle/internal/coordination/fit"
 	"micaspindle/internal/coordination/placement"
 	"micaspindle/internal/coordination/preemption"
 )
@@ -53,9 +54,8 @@
 }
 
 func (c *Controller) teamFor(p *part, team int) preemption.Team {
-	t, u := c.set.Params.Teams[team], p.usage[team]
-	return preemption.Team{Guarantee: preemption.Share{CPUs: t.CPUs, GPUs: t.GPUs}, Limit: preemption.Share{CPUs: t.CPUsMax, GPUs: t.GPUsMax},
-		Used: preemption.Share{CPUs: u.cpus, GPUs: u.gpus}}
+	t := c.set.Params.Teams[team]
+	return preemption.Team{Guarantee: fit.Share{CPUs: t.CPUs, GPUs: t.GPUs}, Limit: limitOf(t), Used: p.usage[team]}
 }
 
 // viewForPreemption gathers a part with all that runs on its usable machines.
@@ -128,8 +128,8 @@
 func (c *Controller) loss(a *attempt, now time.Time) float64 {
 	s := a.job.spec
 	lost := 0.0
-	if !a.startedAt.IsZero() && !s.Standing {
-		lost = now.Sub(a.startedAt).Seconds()
+	if !s.Standing {
+		lost = a.ranS(now)
 	}
 	if s.CheckpointS > 0 {
 		lost = min(lost, s.SaveS)
--- a/internal/coordination/preemption/preemption.go
+++ b/internal/coordination/preemption/preemption.go
@@ -27,11 +27,8 @@
 	most = 8
 )
 
-// Share is what a team has, or uses, of what is shared out.
-type Share struct{ CPUs, GPUs float64 }
-
 // Team is a team's rights and use. A limit of 0 is none.
-type Team struct{ Guarantee, Limit, Used Share }
+type Team struct{ Guarantee, Limit, Used fit.Share }
 
 // Job is a job that waits, or whose work may be stopped.
 type Job struct {
@@ -92,19 +89,13 @@
 		return now.Sub(j.Since) > patience
 	}
 	moment := lastMoment
-	if !t.allows(j) {
+	if !t.Limit.Allows(t.Used, j.Need) {
 		moment = quotaMoment
 	}
 	spare := j.Due.Sub(now) - time.Duration(j.EstimateS*float64(time.Second))
 	return spare >= 0 && spare < moment
 }
 
-// allows says whether one more task keeps the team within its limit.
-func (t *Team) allows(j *Job) bool {
-	return (t.Limit.CPUs <= 0 || t.Used.CPUs+j.Need.CPUs <= t.Limit.CPUs+fit.Epsilon) &&
-		(t.Limit.GPUs <= 0 || t.Used.GPUs+j.Need.GPUs <= t.Limit.GPUs+fit.Epsilon)
-}
-
 // guarantees says whether one more task keeps the team in its guarantee.
 func (t *Team) guarantees(j *Job) bool {
 	return (t.Guarantee.CPUs > 0 || t.Guarantee.GPUs > 0) && t.Used.CPUs+j.Need.CPUs <= t.Guarantee.CPUs+fit.Epsilon &&
@@ -136,7 +127,7 @@
 		if j.Waiting == 0 || j.Never || !MustStart(j, team, v.Now) {
 			continue
 		}
-		if !team.allows(j) {
+		if !team.Limit.Allows(team.Used, j.Need) {
 			r.freeQuota(i)
 			continue
 		}
@@ -172,7 +163,7 @@
 func (r *round) freeQuota(at int) {
 	j := &r.Jobs[at]
 	t := &r.Teams[j.Team]
-	room := Share{t.Limit.CPUs - t.Used.CPUs, t.Limit.GPUs - t.Used.GPUs}
+	room := fit.Share{CPUs: t.Limit.CPUs - t.Used.CPUs, GPUs: t.Limit.GPUs - t.Used.GPUs}
 	var victims []int
 	for i, task := range r.Tasks {
 		lower := &r.Jobs[task.Job]
@@ -181,7 +172,7 @@
 		}
 		switch {
 		case r.stopping[i]:
-			room.add(lower.Need)
+			room.Add(lower.Need, 1)
 		case task.Loss <= worth(j, lower.Need.CPUs):
 			victims = append(victims, i)
 		}
@@ -198,13 +189,11 @@
 		if len(r.stops) >= most || fits() {
 			break
 		}
-		room.add(r.Jobs[r.Tasks[i].Job].Need)
+		room.Add(r.Jobs[r.Tasks[i].Job].Need, 1)
 		r.stop(i, at, true)
 	}
 }
 
-func (s *Share) add(need fit.Amounts) { s.CPUs, s.GPUs = s.CPUs+need.CPUs, s.GPUs+need.GPUs }
-
 // may is PROTOCOL's rule of who may be stopped for whom.
 func (r *round) may(j *Job, guaranteed bool, victim *Job) bool {
 	return victim.Urgency < j.Urgency || guaranteed && victim.Team != j.Team && r.Teams[victim.Team].beyond()
--- a/internal/coordination/preemption/preemption_test.go
+++ b/internal/coordination/preemption/preemption_test.go
@@ -16,8 +16,8 @@
 const red, blue, green = 0, 1, 2 // red beyond its 16, blue within its, green has none
 
 func teams() []Team {
-	sixteen := Share{CPUs: 16}
-	return []Team{{Guarantee: sixteen, Used: Share{CPUs: 20}}, {Guarantee: sixteen, Used: Share{CPUs: 8}}, {Used: Share{CPUs: 4}}}
+	sixteen := fit.Share{CPUs: 16}
+	return []Team{{Guarantee: sixteen, Used: fit.Share{CPUs: 20}}, {Guarantee: sixteen, Used: fit.Share{CPUs: 8}}, {Used: fit.Share{CPUs: 4}}}
 }
 
 // must is a job that has to start now.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -287,7 +287,7 @@
 		j.running--
 	}
 	p := c.parts[j.part]
-	p.usage[j.team].add(j.spec, -1)
+	p.usage[j.team].Add(needOf(j.spec), -1)
 	if j.spec.Gang && a.cause != protocol.CauseDone {
 		// Without one, the others can't go on: all start again together.
 		for _, mate := range j.mates() {
@@ -309,11 +309,6 @@
 
 func (j *job) requeue(task int) { j.queue = slices.Insert(j.queue, 0, task) }
 
-func (q *quota) add(s *protocol.JobSpec, sign float64) {
-	q.cpus += sign * s.CPUs
-	q.gpus += sign * s.GPUs
-}
-
 // stopAttempt wants an attempt off its machine.
 func (c *Controller) stopAttempt(a *attempt, grace float64, now time.Time) {
 	if !a.live() || a.stopping && a.stopGrace <= grace {
