Names of digest functions are read in one place

Need: five places compared a name with BLAKE3's, each in its way: names of files, of records, of blobs for transfers, of manifests, of looked-at actions. Change: content.Named says which function a name is.

--- a/internal/content/content.go
+++ b/internal/content/content.go
@@ -193,9 +193,7 @@
 	num, function, _ := strings.Cut(num, "-")
 	size, serr := strconv.ParseInt(num, 10, 64)
 	k := Key{string(space), Digest{Hash: name, Size: size}}
-	if function == BLAKE3.String() {
-		k.Function = BLAKE3
-	}
+	k.Function, _ = Named(function)
 	return k, err == nil && serr == nil && k.Check() == nil && s.path(k) == path
 }
 
--- a/internal/content/digest.go
+++ b/internal/content/digest.go
@@ -28,6 +28,15 @@
 	return "sha256"
 }
 
+// Named is the function of a name that stands before, or behind, a hash. SHA-256 has
+// none there.
+func Named(name string) (f Function, ok bool) {
+	if name == BLAKE3.String() {
+		return BLAKE3, true
+	}
+	return SHA256, false
+}
+
 // New begins a digest.
 func (f Function) New() hash.Hash {
 	if f == BLAKE3 {
--- a/internal/content/results.go
+++ b/internal/content/results.go
@@ -60,9 +60,8 @@
 		for _, e := range records {
 			k := Key{Space: string(space)}
 			var function string
-			if k.Hash, function, _ = strings.Cut(e.Name(), "-"); function == BLAKE3.String() {
-				k.Function = BLAKE3
-			}
+			k.Hash, function, _ = strings.Cut(e.Name(), "-")
+			k.Function, _ = Named(function)
 			info, err := e.Info()
 			if err != nil || k.Check() != nil || r.path(k) != filepath.Join(dir, sp.Name(), e.Name()) {
 				_ = os.Remove(filepath.Join(dir, sp.Name(), e.Name())) // a record half written
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -361,8 +361,11 @@
 		return resource{}, bad
 	}
 	function := content.SHA256
-	if len(rest) > 0 && rest[0] == content.BLAKE3.String() {
-		function, rest = content.BLAKE3, rest[1:]
+	if len(rest) > 0 {
+		var named bool
+		if function, named = content.Named(rest[0]); named {
+			rest = rest[1:]
+		}
 	}
 	// What follows an upload's size is the client's own.
 	if len(rest) < 2 || !write && len(rest) != 2 {
--- a/internal/gate/inspect.go
+++ b/internal/gate/inspect.go
@@ -102,8 +102,10 @@
 		}
 	} else {
 		d := content.Digest{Hash: req.GetHash(), Size: req.GetSizeBytes()}
-		if function, hash, named := strings.Cut(d.Hash, ":"); named && function == content.BLAKE3.String() {
-			d.Function, d.Hash = content.BLAKE3, hash
+		if name, hash, _ := strings.Cut(d.Hash, ":"); hash != "" {
+			if function, known := content.Named(name); known {
+				d.Function, d.Hash = function, hash
+			}
 		}
 		if err := d.Check(); err != nil {
 			return nil, failure(err)
--- a/internal/gate/plan.go
+++ b/internal/gate/plan.go
@@ -53,11 +53,8 @@
 // Action is the entry's action.
 func (e *ManifestEntry) Action() content.Digest {
 	d := content.Digest{Hash: e.Hash, Size: e.Size}
-	switch e.Function {
-	case "":
-	case content.BLAKE3.String():
-		d.Function = content.BLAKE3
-	default:
+	var known bool
+	if d.Function, known = content.Named(e.Function); !known && e.Function != "" {
 		d.Hash = "" // of a gate that knows more functions: checked, it is none
 	}
 	return d
