A tick begins no duty while the last ones are waited for

Change: the loop counts as a duty until it has seen the end, and ticks no more after. Requests that come in these moments can still begin one (not seen). Measured: the package's storms, kills and takeovers pass under the race detector (42 s).

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -155,6 +155,7 @@
 // has ended.
 func (c *Controller) Run() {
 	loopCtx, stopLoop := context.WithCancel(context.Background())
+	c.duty.Add(1) // for the loop's ticks, which begin duties
 	go func() {
 		defer close(c.loopDone)
 		c.loop(loopCtx)
@@ -183,12 +184,19 @@
 func (c *Controller) loop(ctx context.Context) {
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
+	// A tick must not begin a duty while the last ones are waited for.
+	ending := c.ctx.Done()
 	for {
 		select {
 		case fn := <-c.calls:
 			fn()
 		case <-tick.C:
-			c.tick(time.Now())
+			if ending != nil {
+				c.tick(time.Now())
+			}
+		case <-ending:
+			ending = nil
+			c.duty.Done()
 		case <-ctx.Done():
 			return
 		}
