--- /dev/null
+++ b/cmd/spindleregress/main_test.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// kit is a folder with one site and a scripted bench, which writes entries with
+// the given score and day into the journal beside it.
+func kit(t *testing.T, script string) (*runCmd, *cli) {
+	t.Helper()
+	dir := t.TempDir()
+	journal := filepath.Join(dir, "journal")
+	if err := os.Mkdir(journal, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{"bench": "#!/bin/sh\nJ=" + journal + "\n" + script, "a.toml": "", "journal/0.json": past} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return &runCmd{Kit: dir, Bench: "bench", Why: "A reason", Days: 1, Limit: time.Minute, Sites: []string{"a.toml"}}, &cli{Journal: journal, Output: "json"}
+}
+
+const past = `{"id":"0","at":["2026-01-01T00:00:00Z"],"cmd":"score","mode":"quick","site":"a","ok":true,"score":0.7,"days":[]}`
+
+func entry(verb, mode string, score float64, days string) string {
+	return fmt.Sprintf(`echo '{"id":"%s","at":["2026-01-02T00:00:00Z"],"cmd":"%s","mode":"%s","site":"a","ok":true,"score":%g,"days":[%s]}' >$J/%s.json;`,
+		verb, verb, mode, score, days, verb)
+}
+
+func TestExitSaysWhetherTheChangeMayLand(t *testing.T) {
+	usage := new(usageError)
+	for name, c := range map[string]struct {
+		script string
+		change func(*runCmd)
+		is     func(error) bool
+	}{
+		"as before":          {entry("score", "quick", 0.7, ""), nil, func(err error) bool { return err == nil }},
+		"a fall":             {entry("score", "quick", 0.6, ""), nil, func(err error) bool { return errors.Is(err, errMayNotLand) }},
+		"the bench fails":    {entry("score", "quick", 0.7, "") + "exit 1", nil, func(err error) bool { return err != nil && !errors.Is(err, errMayNotLand) }},
+		"nothing is written": {"exit 0", nil, func(err error) bool { return err != nil && strings.Contains(err.Error(), "0 new entries of 1") }},
+		"a hunt finds something": {`if [ $1 = hunt ]; then ` + entry("hunt", "", 0, `{"name":"h","score":0,"rules":{"quota":1}}`) + " else " + entry("score", "", 0.7, "") + " fi",
+			func(r *runCmd) { r.Full = true }, func(err error) bool { return errors.Is(err, errMayNotLand) }},
+		"no kit":        {"", func(r *runCmd) { r.Kit += "/nowhere" }, func(err error) bool { return errors.As(err, usage) && strings.Contains(err.Error(), "KIT=") }},
+		"no bench":      {"", func(r *runCmd) { r.Bench = "nothing" }, func(err error) bool { return errors.As(err, usage) }},
+		"no site":       {"", func(r *runCmd) { r.Sites = []string{"b.toml"} }, func(err error) bool { return errors.As(err, usage) }},
+		"a long why":    {"", func(r *runCmd) { r.Why = strings.Repeat("x", whyLimit) }, func(err error) bool { return errors.As(err, usage) }},
+		"over its time": {"exec sleep 60", func(r *runCmd) { r.Limit = 50 * time.Millisecond }, func(err error) bool { return err != nil && strings.Contains(err.Error(), "over the limit") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, c2 := kit(t, c.script)
+			if c.change != nil {
+				c.change(r)
+			}
+			if err := r.Run(context.Background(), c2); !c.is(err) {
+				t.Errorf("ended with %v", err)
+			}
+		})
+	}
+}
