--- a/internal/audit/archive/archive_test.go
+++ b/internal/audit/archive/archive_test.go
@@ -43,7 +43,7 @@
 func (n *stateNet) Do(ctx context.Context, _, method, target string, body []byte) (*transport.Response, error) {
 	path, query, _ := strings.Cut(target, "?")
 	q := must(url.ParseQuery(query))
-	resp := n.s.Serve(ctx, method, path, q, body)
+	resp := n.s.Serve(ctx, "", method, path, q, body)
 	if n.lose != nil {
 		if err := n.lose(target, resp); err != nil {
 			return nil, err
--- a/internal/bookkeeping/store.go
+++ b/internal/bookkeeping/store.go
@@ -426,18 +426,22 @@
 	return err
 }
 
-// Watch waits for changes under prefix after a revision.
-func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (*protocol.Events, error) {
+// Watch waits for changes under prefix after a revision. patience is how long it may take
+// beyond that: open watches go on through an outage.
+func (s *Store) Watch(ctx context.Context, prefix string, after uint64, wait, patience time.Duration) (*protocol.Events, error) {
 	if err := s.requests.Wait(ctx); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrRefused, err)
 	}
-	return s.changes(ctx, prefix, after, wait)
+	return s.changes(ctx, prefix, after, wait, patience)
 }
 
-func (s *Store) changes(ctx context.Context, prefix string, after uint64, wait time.Duration) (*protocol.Events, error) {
+// ChangePatience is how long an answer that is not to wait for a change may take.
+const ChangePatience = 3 * time.Second
+
+func (s *Store) changes(ctx context.Context, prefix string, after uint64, wait, patience time.Duration) (*protocol.Events, error) {
 	var ev protocol.Events
 	target := fmt.Sprintf("/changes?under=%s&after=%d&wait_ms=%d", prefix, after, wait.Milliseconds())
-	status, err := s.do(ctx, wait+3*time.Second, "GET", target, nil, &ev)
+	status, err := s.do(ctx, wait+patience, "GET", target, nil, &ev)
 	switch {
 	case err != nil:
 		return nil, err
@@ -453,7 +457,7 @@
 // a takeover waits for it.
 func (s *Store) Catch(ctx context.Context, prefix string, after uint64) (*protocol.Events, error) {
 	s.requests.Reserve()
-	return s.changes(ctx, prefix, after, 0)
+	return s.changes(ctx, prefix, after, 0, ChangePatience)
 }
 
 // Revoke ends a lease at once; if that fails, it ends by itself.
--- a/internal/coordination/carry.go
+++ b/internal/coordination/carry.go
@@ -129,7 +129,7 @@
 	}
 	e.keep(m.name, answered{bytes.Clone(raw), r.Session, r.Sequence})
 	nudge(e.kick)
-	return transport.Response{Status: 200, Body: protocol.Encode(protocol.Orders{Token: token, Commands: []protocol.Command{}})}, true
+	return transport.Response{Status: 200, Body: protocol.Encode(protocol.Orders{Token: token, Commands: c.recalls(r)})}, true
 }
 
 // named says whether a part's owner wants this controller to carry something of it.
@@ -261,7 +261,7 @@
 		for _, r := range reports {
 			cy.take(p, r, now)
 		}
-		granted, d, serial := p.ledger.Asked(req.From, req.Nonce, req.After, c.answerBound()-now.Sub(c.renewed), now)
+		granted, d, serial := p.ledger.Asked(req.From, req.Nonce, req.After, c.answerBound()-now.Sub(c.informed()), now)
 		for _, s := range granted {
 			reply.Shares = append(reply.Shares, uint32(s))
 		}
--- a/internal/coordination/carry_test.go
+++ b/internal/coordination/carry_test.go
@@ -708,3 +708,47 @@
 		w.finish(4 * time.Minute)
 	})
 }
+
+// A worker that is sent to its carrier before anybody has answered it holds its first
+// lease all the same: what was started on it is not over (6).
+func TestUnansweredWorkerKeepsItsFirstLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end := unrun(t)
+		defer end()
+		now := time.Now()
+		c.fresh, c.renewed, c.synced = now, now, true
+		p := c.parts[0]
+		p.mine, p.ready, p.version, p.claimed = true, true, 5, now
+		c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}, 3, now)
+		m := c.machines["m-1"]
+		time.Sleep(time.Minute) // its boot
+		now = time.Now()
+		c.fresh, c.renewed = now, now
+		p.ledger.Assign(m.share, "n1")
+		// The carrier asks again and again, so that all that it answered is known.
+		for serial := range uint64(3) {
+			p.ledger.Asked("n1", "x", serial, time.Minute, now.Add(-time.Second))
+		}
+		p.ledger.Asked("n1", "x", 3, time.Minute, now)
+		report := &protocol.Report{Machine: "m-1", Addr: "m-1:1", Session: 1, Sequence: 1, Token: 5}
+		if resp := c.handleReport(report, protocol.Encode(report)); resp.Status != 421 {
+			t.Fatalf("status %d: not sent to its carrier", resp.Status)
+		}
+		j := &job{spec: spec("job-1", 1, "red")}
+		j.own()
+		c.jobs["job-1"] = j
+		a := &attempt{job: j, number: 1, machine: m, session: 1, state: attemptCommitted}
+		j.live[0], j.queue = a, nil
+		m.attempts[attemptKey(a.wire(), 1)] = a
+		for _, wait := range []time.Duration{tickEvery, time.Duration(float64(c.leaseS) * drift)} {
+			time.Sleep(wait)
+			if c.checkMachines(time.Now()); m.lost || len(j.live) == 0 {
+				t.Fatalf("lost %s into its first lease", time.Since(now))
+			}
+		}
+		time.Sleep(2*margin + shares.GrantFor)
+		if c.checkMachines(time.Now()); !m.lost || len(j.live) != 0 {
+			t.Error("not lost after its first lease")
+		}
+	})
+}
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -11,16 +11,26 @@
 	"micaspindle/internal/protocol"
 )
 
-// answerBound is how long after its last confirmed renewal a controller goes
-// on answering its workers, so that their tasks survive an outage of the state
-// service, yet are gone within cancel_s after a successor took over (rule 12).
+// answerBound is for how long a controller goes on answering its workers after the
+// last moment up to which it was informed, so that their tasks survive an outage of the
+// state service, yet one that is withdrawn elsewhere is gone within cancel_s (12, 42).
 func (c *Controller) answerBound() time.Duration {
 	return max(0, c.cancelS-c.leaseS-2*margin)
 }
 
+// informed is the moment up to which this controller provably knows every withdrawal
+// that any user was told of, and held its claims. A renewal alone does not show the
+// first: it may come through while the watch brings nothing (42).
+func (c *Controller) informed() time.Time {
+	if c.fresh.Before(c.renewed) {
+		return c.fresh
+	}
+	return c.renewed
+}
+
 // entitled says whether the controller may answer the workers of a part.
 func (c *Controller) entitled(p *part, now time.Time) bool {
-	return p.mine && now.Sub(c.renewed) < c.answerBound()
+	return p.mine && now.Sub(c.informed()) < c.answerBound()
 }
 
 // claimEvery is how often a controller looks whether there is something to
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -86,6 +86,7 @@
 	succession
 	following following
 	carrying  carrying
+	news      news
 	// leaving: this controller is about to end and hands over what it has.
 	leaving bool
 	// heardLeader is what the last leader told of what it was about.
@@ -349,13 +350,20 @@
 	}
 }
 
+// watchPatience is how long a watch may go on through an outage: after one that is given
+// up everything is listed.
+const watchPatience = 12 * time.Second
+
 // watchDuty follows the shared records: a listing, then changes from there.
 func (c *Controller) watchDuty() {
 	tries := c.tries("watch", followPause)
-	wait := min(10*time.Second, c.staleBound()/3)
+	// As often as the lease is renewed: the older of the two bounds what workers are
+	// answered (informed).
+	wait, patience := c.op.ClaimTTL/3, watchPatience
 	if c.guard != nil {
-		wait = policyWait
+		wait, patience = min(wait, policyWait), bookkeeping.ChangePatience
 	}
+	late := false
 	revision := uint64(0)
 	for {
 		asked := time.Now()
@@ -378,7 +386,11 @@
 			revision = rev
 			asked = time.Now()
 		}
-		ev, err := c.store.Watch(c.ctx, bookkeeping.WatchPrefix, revision, wait)
+		most := wait
+		if late {
+			most = 0 // what was asked for long ago, before an outage perhaps, informs of little
+		}
+		ev, err := c.store.Watch(c.ctx, bookkeeping.WatchPrefix, revision, most, patience)
 		if err != nil {
 			if c.ctx.Err() != nil {
 				return
@@ -401,7 +413,7 @@
 		}) {
 			return
 		}
-		revision = max(revision, ev.Revision)
+		revision, late = max(revision, ev.Revision), time.Since(asked) > 2*wait
 		tries.Succeeded()
 	}
 }
@@ -609,6 +621,9 @@
 		return
 	}
 	c.finals[id] = status
+	if status == protocol.StatusWithdrawn && c.listedEnds == nil { // what is listed is mostly old
+		c.news.note(id, time.Now())
+	}
 	for _, j := range c.graph.ended(id, status == protocol.StatusDone, time.Now()) {
 		if p := c.parts[j.part]; p.mine && p.ready {
 			p.order = nil
--- a/internal/coordination/follow.go
+++ b/internal/coordination/follow.go
@@ -143,7 +143,7 @@
 		}
 	}
 	asked := time.Now()
-	ev, err := c.store.Watch(ctx, prefix, after, 0)
+	ev, err := c.store.Watch(ctx, prefix, after, 0, bookkeeping.ChangePatience)
 	f.with(fo, func() {
 		switch {
 		case errors.Is(err, bookkeeping.ErrTooOld):
@@ -537,11 +537,12 @@
 	return n
 }
 
-// unknown lists jobs that the records name and that are not known here: ended ones whose
-// attempts are not all proven over, and those whose own record has not come yet.
-func (s *shadow) unknown(jobs map[string]*job) (ids []string) {
+// unknown lists jobs that the records name and that are neither known here nor among the
+// records read: ended ones whose attempts are not all proven over, and those whose own
+// record has not come yet.
+func (s *shadow) unknown(jobs map[string]*job, read map[string]*protocol.Item) (ids []string) {
 	for id := range s.jobs {
-		if jobs[id] == nil {
+		if jobs[id] == nil && read[id] == nil {
 			ids = append(ids, id)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/meetings_test.go
@@ -0,0 +1,244 @@
+package coordination
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/transport"
+)
+
+// gapWorld is one whose bound for answers is long, and whose work runs for longer than a
+// withdrawal has.
+func gapWorld(w *world) {
+	w.cloud.Capacity = 30
+	w.set.Params.Teams[0].CPUsMax, w.set.Params.Teams[1].CPUsMax = 0, 0
+	w.set.Params.Workers.CancelS, w.set.Params.Workers.LeaseS = 43, 18
+	w.runTime = func(string, int, string) time.Duration { return 10 * time.Minute }
+}
+
+// The gap: the state service refuses the leading controller alone, another confirms
+// withdrawals, and then the service is down for everybody for longer than cancel_s, while
+// the workers go on reporting to the old owner. Every task must be gone within cancel_s of
+// the answer's arrival at its user (checked by the world, at every step of every machine).
+func TestWithdrawnBetweenARefusalAndAnOutage(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// refusedFor is how long the refusal lasts before the outage begins; 0: until a
+		// successor has claimed the part, and not read its records.
+		refusedFor time.Duration
+		// noNews: the controllers hear nothing of it from each other; cut: nor anything else.
+		noNews, cut bool
+		// stuck: the watches bring nothing from before the first withdrawal on.
+		stuck bool
+		// hang is for how long machines of withdrawn jobs stand still.
+		hang  time.Duration
+		twice bool
+	}{
+		{name: "news", refusedFor: 2 * time.Second},
+		{name: "no news", refusedFor: 2 * time.Second, noNews: true},
+		{name: "no news, twice", refusedFor: 1500 * time.Millisecond, noNews: true, twice: true},
+		{name: "cut from the others too", refusedFor: 2 * time.Second, noNews: true, cut: true},
+		{name: "watches bring nothing", refusedFor: 2 * time.Second, noNews: true, stuck: true},
+		{name: "the lease ends first", refusedFor: 3600 * time.Millisecond, noNews: true},
+		{name: "a successor has claimed", noNews: true},
+		{name: "a successor decides", refusedFor: 6 * time.Second, noNews: true},
+		{name: "machines hang", refusedFor: 2 * time.Second, noNews: true, hang: 14 * time.Second},
+		{name: "machines hang, a successor has claimed", noNews: true, hang: 14 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			simulatePrepared(t, 301, gapWorld, func(w *world) {
+				time.Sleep(3 * time.Second)
+				// Withdrawals every 0.1 s, from 4 s before the refusal on.
+				const each, before = 56, 40
+				rounds := 1
+				if tc.twice {
+					rounds = 2
+				}
+				for i := range each * rounds {
+					s := spec(fmt.Sprintf("job-%d", i), 1, "green")
+					s.CPUs, s.EstimateS, s.DeadlineS = 2, 600, 0
+					w.submit(s)
+				}
+				time.Sleep(40 * time.Second)
+				part := 0
+				w.in("n0", func(c *Controller) { part = c.teamPart[c.teamIndex["green"]] })
+				for round := range rounds {
+					w.gap(round*each, each, before, part, func(i int, owner string) {
+						switch i {
+						case 0:
+							w.mu.Lock()
+							w.noNews, w.state.Stuck = tc.noNews, tc.stuck
+							w.mu.Unlock()
+						case before:
+							w.refuse(owner, true)
+							if tc.cut {
+								w.mu.Lock()
+								w.cut = func(from, host string) bool {
+									return host == owner && from[0] == 'n' || from == owner && host[0] == 'n'
+								}
+								w.mu.Unlock()
+							}
+						}
+					}, tc.hang)
+					if tc.refusedFor == 0 {
+						w.awaitClaim(part)
+					}
+					time.Sleep(tc.refusedFor - (each-before)*100*time.Millisecond)
+					w.outage(true)
+					time.Sleep(12 * time.Second)
+					for _, l := range []string{"n0", "n1", "n2"} {
+						w.refuse(l, false)
+					}
+					time.Sleep(45 * time.Second)
+					w.mu.Lock()
+					w.state.Stuck, w.cut, w.noNews = false, nil, false
+					w.mu.Unlock()
+					w.outage(false)
+					time.Sleep(30 * time.Second)
+				}
+				w.mu.Lock()
+				for id, uj := range w.jobs {
+					if uj.ended == protocol.StatusWithdrawn && len(w.runs(id)) > 0 {
+						t.Errorf("%s runs on %v", id, w.runs(id))
+					}
+				}
+				w.mu.Unlock()
+			})
+		})
+	}
+}
+
+// gap withdraws jobs from one number on at controllers that do not own their part, one
+// every 0.1 s, and lets something happen before each.
+func (w *world) gap(from, count, before, part int, happen func(i int, owner string), hang time.Duration) {
+	owner := w.owns(part)
+	if owner == "" {
+		w.t.Fatal("nobody owns the part")
+	}
+	others := w.others(owner)
+	confirmed, after, running := 0, 0, 0
+	for i := range count {
+		happen(i, owner)
+		job := fmt.Sprintf("job-%d", from+i)
+		w.mu.Lock()
+		on := w.runs(job)
+		w.mu.Unlock()
+		running += len(on)
+		if begun := time.Now(); w.withdrawAt(others[i%len(others)], job) {
+			confirmed++
+			if i >= before {
+				after++
+			}
+			if hang > 0 && i%2 == 0 {
+				for _, m := range on {
+					w.hang(m, hang)
+				}
+			}
+			time.Sleep(100*time.Millisecond - time.Since(begun))
+		}
+	}
+	if running < count/2 || confirmed < count/2 || after < 5 {
+		w.t.Fatalf("%d of %d ran, %d withdrawals confirmed, %d of them after the refusal", running, count, confirmed, after)
+	}
+}
+
+// awaitClaim waits until a part is claimed by another than now.
+func (w *world) awaitClaim(part int) {
+	key := bookkeeping.ClaimKey(part)
+	w.mu.Lock()
+	was := w.state.Items[key].Version
+	w.mu.Unlock()
+	for range 20_000 {
+		time.Sleep(time.Millisecond)
+		w.mu.Lock()
+		now := w.state.Items[key].Version
+		w.mu.Unlock()
+		if now != 0 && now != was {
+			return
+		}
+	}
+	w.t.Fatal("nobody claimed the part")
+}
+
+// Every team is at its limit when the leader changes, the machines can't be asked, and a
+// cancellation falls into the moment in which the successor reads its part's records: what
+// the cancelled job has on its machines counts against the team's limit until it is proven
+// over (6, 39, 47).
+func TestLimitHoldsForJobsThatEndWhileTheirPartIsRead(t *testing.T) {
+	prepare := func(w *world) {
+		gapWorld(w)
+		w.set.Params.Teams[0].CPUsMax = 32
+	}
+	simulatePrepared(t, 302, prepare, func(w *world) {
+		time.Sleep(3 * time.Second)
+		for _, id := range []string{"job-1", "job-2"} {
+			s := spec(id, 8, "red") // all of the limit
+			s.EstimateS, s.DeadlineS = 600, 0
+			w.submit(s)
+		}
+		time.Sleep(20 * time.Second)
+		part := 0
+		w.in("n0", func(c *Controller) { part = c.teamPart[c.teamIndex["red"]] })
+		owner := w.owns(part)
+		claimed := make(chan struct{})
+		var late atomic.Bool
+		w.locked(func() {
+			if n := len(w.runs("job-1")); n != 8 {
+				t.Fatalf("%d tasks run", n)
+			}
+			out := map[string]bool{}
+			for _, m := range w.runs("job-1") {
+				out[m] = true
+			}
+			w.cut = func(_, host string) bool { return out[host] }
+			// The shared records come late, so that the successor waits for them after it
+			// has read those of the part.
+			w.answered = func(_, _, target string, _ []byte, _ *transport.Response) bool {
+				for late.Load() && strings.HasPrefix(target, "/changes?under="+bookkeeping.WatchPrefix) {
+					time.Sleep(time.Millisecond)
+				}
+				return false
+			}
+			check := w.state.BeforePut
+			w.state.BeforePut = func(c protocol.Change, old protocol.Item, exists bool) {
+				check(c, old, exists)
+				if c.Put == bookkeeping.ClaimKey(part) && !late.Swap(true) {
+					close(claimed)
+				}
+			}
+		})
+		w.kill(owner)
+		<-claimed
+		time.Sleep(200 * time.Millisecond)
+		heir := ""
+		for _, l := range w.others("") {
+			w.in(l, func(c *Controller) {
+				if c.parts[part].mine && !c.parts[part].ready {
+					heir = l
+				}
+			})
+		}
+		if heir == "" || !w.withdrawAt(heir, "job-1") {
+			t.Fatalf("no withdrawal while %q reads", heir)
+		}
+		late.Store(false)
+		time.Sleep(10 * time.Second)
+		w.locked(func() {
+			if n := len(w.runs("job-1")); n != 8 {
+				t.Errorf("%d tasks of the cancelled job left: its machines were asked", n)
+			}
+		})
+		// Afterwards the others' turn comes, once the leases have run out (47).
+		time.Sleep(50 * time.Second)
+		w.locked(func() {
+			if n := len(w.runs("job-2")); n != 8 {
+				t.Errorf("%d tasks of the next job run", n)
+			}
+		})
+	})
+}
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -99,6 +99,7 @@
 	}
 	ps.heard, ps.summary = now, sum
 	ps.noteReporting()
+	c.heardNews(sum)
 	c.carrying.heard(sum)
 	// Addresses learnt by others let a new owner fence at once.
 	for _, part := range sum.Parts {
@@ -149,7 +150,7 @@
 // summary describes this controller and its parts.
 func (c *Controller) summary(now time.Time) *peer.Summary {
 	sum := &peer.Summary{From: c.set.Label, StateSilenceS: c.store.Silence().Seconds(), WriteDemand: c.writeDemand,
-		Follows: c.following.follows(), Leaving: c.leaving, Copies: true,
+		Follows: c.following.follows(), Leaving: c.leaving, Copies: true, Withdrawn: c.news.latest(now, c.cancelS),
 		Room: uint32(c.carrying.room), Connected: uint32(c.carrying.load(now).Machines)}
 	for _, p := range c.parts {
 		if p.mine && p.ready {
--- a/internal/coordination/succession_test.go
+++ b/internal/coordination/succession_test.go
@@ -246,7 +246,7 @@
 			t.Errorf("over: the first life %v, the second %v", over(a.Nonce), over(b.Nonce))
 		}
 		// A write of the first life that comes now is refused by its stamp.
-		resp := w.state.Serve(w.ctx, "POST", "/commit", nil, protocol.Encode(&protocol.Transaction{
+		resp := w.state.Serve(w.ctx, "", "POST", "/commit", nil, protocol.Encode(&protocol.Transaction{
 			If: []protocol.Condition{{Key: key, Version: 0}}, Then: []protocol.Change{{Put: key, Value: first.Value}}}))
 		if resp.Status != 409 {
 			t.Errorf("a late write of the first life got %d", resp.Status)
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -132,27 +132,33 @@
 	if err != nil {
 		return err
 	}
-	var missing []string
-	c.do(func() { missing = fo.shadow.unknown(c.jobs) })
 	specs := map[string]*protocol.Item{}
-	for _, id := range missing {
-		if specs[id], err = c.store.Get(c.ctx, bookkeeping.JobKey(id)); err != nil {
-			return err
-		}
-	}
-	var lacks []string
+	var lacks, missing []string
 	told := true
 	for begun := time.Now(); ; {
 		c.do(func() {
-			if lacks = nil; !p.mine || p.version != version {
+			if lacks, missing = nil, nil; !p.mine || p.version != version {
 				return // lost meanwhile: nothing to wait for
 			}
+			// Asked in the same turn as the rest: a job that ends meanwhile is not known
+			// any more, yet its attempts hold their team's quota until they are over.
+			if missing = fo.shadow.unknown(c.jobs, specs); len(missing) > 0 {
+				return
+			}
 			if lacks = f.lacks(p, version, fo.copy.At()); len(lacks) > 0 {
 				return
 			}
 			f.install(p, fo, specs, warm)
 			told = fo.tale.have != 0
 		})
+		if len(missing) > 0 {
+			for _, id := range missing {
+				if specs[id], err = c.store.Get(c.ctx, bookkeeping.JobKey(id)); err != nil {
+					return err
+				}
+			}
+			continue
+		}
 		if len(lacks) == 0 {
 			if !told {
 				f.recallTale(p, version)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -57,19 +57,40 @@
 		return transport.Response{Status: 421, Body: protocol.Encode(protocol.Home{Home: by})}
 	}
 	m.answeredBy = now
-	orders := protocol.Orders{Token: token, Commands: []protocol.Command{}}
+	orders := protocol.Orders{Token: token}
 	if p.ready && m.fenced {
 		orders.Commands = c.commands(m, now, true)
+	} else {
+		orders.Commands = c.recalls(r)
 	}
 	return transport.Response{Status: 200, Body: protocol.Encode(orders)}
 }
 
+// recalls stops what a report shows of withdrawn jobs. Whoever answers a report keeps
+// what it shows alive, so that nobody may do so for a task that it knows to be withdrawn:
+// neither an owner that has not read its part's records yet nor a carrier, which both
+// decide nothing else. A withdrawal is on record for good, so that the stop needs none.
+func (c *Controller) recalls(r *protocol.Report) []protocol.Command {
+	cmds := []protocol.Command{}
+	for _, t := range r.Tasks {
+		if job, _, ok := protocol.ParseTask(t.Task); ok && t.State != protocol.TaskEnded && c.finals[job] == protocol.StatusWithdrawn {
+			cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: t.Task, Attempt: t.Attempt})
+		}
+	}
+	return cmds[:min(len(cmds), commandsMost)]
+}
+
 // observe takes in a report, from whichever way it came.
 func (c *Controller) observe(m *machine, r *protocol.Report, now time.Time) {
 	p := c.parts[m.rec.Part]
 	if !p.ready || !m.newer(r) {
 		return
 	}
+	if (!m.heard || r.Session > m.session) && m.answeredBy.Before(now) {
+		// The lease of a session counts from its beginning, which lies before its first
+		// report, until a report is answered: one that was sent to a carrier was not.
+		m.answeredBy = now
+	}
 	if !m.heard {
 		m.heard, m.idleSince = true, now
 		c.log.Info("machine up", "machine", m.name, "type", m.rec.Type, "zone", m.rec.Zone, "spot", m.rec.Spot)
@@ -402,10 +423,12 @@
 		}
 		cmds = append(cmds, op)
 	}
-	const most = 300 // keeps the answer far below 64 KiB
-	return cmds[:min(len(cmds), most)]
+	return cmds[:min(len(cmds), commandsMost)]
 }
 
+// commandsMost keeps an answer to a worker far below 64 KiB.
+const commandsMost = 300
+
 // awaits says whether there may be anything to command: most reports change
 // nothing.
 func (m *machine) awaits() bool {
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -60,6 +60,7 @@
 	// ids makes the controllers ask who comes; nil: they don't.
 	ids   *clerks
 	group sync.WaitGroup
+	troubles
 	// stormTasks is how many tasks a storm's jobs have at most.
 	stormTasks int
 
@@ -200,12 +201,18 @@
 	w.mu.Lock()
 	fate := w.rng.Float64()
 	delay := time.Duration(1+w.rng.IntN(4)) * time.Millisecond
-	late := time.Duration(w.rng.IntN(20_000)) * time.Millisecond
+	after := time.Duration(w.rng.IntN(20_000)) * time.Millisecond
 	trouble := w.trouble
-	cut := w.cut != nil && w.cut(nn.n.label, host)
+	cut := w.cut != nil && w.cut(nn.n.label, host) || w.deaf[host]
 	asked := w.asked
+	late, lost := w.lateWrite(host, target)
 	w.mu.Unlock()
 	w.awaitHeld(nn.n.label)
+	if lost {
+		w.group.Go(func() { w.writeLate(nn.n.label, late, body) })
+		<-ctx.Done()
+		return nil, fmt.Errorf("no answer to a transaction: %w", ctx.Err())
+	}
 	if asked != nil && asked(nn.n.label, host, target, body) {
 		cut = true
 	}
@@ -219,7 +226,7 @@
 	}
 	if fate < trouble*2/3 && ctx.Done() != nil {
 		w.group.Go(func() {
-			time.Sleep(late)
+			time.Sleep(after)
 			w.deliver(context.WithoutCancel(ctx), nn.n.label, host, method, target, body)
 		})
 		<-ctx.Done()
@@ -264,7 +271,7 @@
 	}
 	sum := new(peer.Summary)
 	must(proto.Unmarshal(body, sum))
-	sum.Follows, sum.Leaving, sum.Copies, sum.Room, sum.Connected = nil, false, false, 0, 0
+	sum.Follows, sum.Leaving, sum.Copies, sum.Room, sum.Connected, sum.Withdrawn = nil, false, false, 0, 0, nil
 	for _, p := range sum.Parts {
 		p.Standby, p.Carried = "", nil
 	}
@@ -278,7 +285,7 @@
 	q, _ := url.ParseQuery(query)
 	switch host {
 	case "state":
-		return w.state.Serve(ctx, method, path, q, body)
+		return w.state.Serve(ctx, from, method, path, q, body)
 	case "cloud":
 		return w.cloud.Serve(method, path, q, body)
 	}
@@ -292,6 +299,9 @@
 		if w.old[from] {
 			body = ofOld(path, body)
 		}
+		if path == summaryPath && w.noNews {
+			body = withoutNews(body)
+		}
 		if w.told != nil && path == talePath {
 			tale := new(peer.Tale)
 			must(proto.Unmarshal(body, tale))
@@ -405,17 +415,29 @@
 func (w *world) report(machine, label string, report []byte) (int, []byte) {
 	w.mu.Lock()
 	n := w.nodes[label]
-	lost := w.rng.Float64() < w.trouble || w.cut != nil && w.cut(label, machine)
+	lost := w.rng.Float64() < w.trouble || w.cut != nil && w.cut(label, machine) || w.mute[machine]
+	deaf := w.deaf[machine]
+	if !lost {
+		w.copyReport(machine, label, report)
+	}
 	w.mu.Unlock()
 	if n == nil || lost {
 		return 0, nil
 	}
 	time.Sleep(2 * time.Millisecond)
 	w.awaitHeld(label)
-	resp := n.ctl.Serve(w.ctx, &transport.Request{Method: "POST", Path: "/checkin", Body: report, Peer: w.ids.certificate("worker/" + machine)})
+	resp := n.checkin(w, machine, report)
+	if deaf {
+		return 0, nil
+	}
 	return resp.Status, resp.Body
 }
 
+// checkin brings a report to a controller.
+func (n *node) checkin(w *world, machine string, report []byte) transport.Response {
+	return n.ctl.Serve(w.ctx, &transport.Request{Method: "POST", Path: "/checkin", Body: report, Peer: w.ids.certificate("worker/" + machine)})
+}
+
 // RunTime is how long a task runs; one that was done before ends at once.
 func (w *world) RunTime(job string, task int, machine string) (time.Duration, bool) {
 	uj := w.jobs[job]
@@ -443,7 +465,12 @@
 // Ended notes a task's result.
 func (w *world) Ended(_ *worker.Worker, t *worker.Task) {
 	if t.Cause == protocol.CauseDone {
-		w.jobs[t.Job].tasksDone[t.Index] = true
+		uj := w.jobs[t.Job]
+		uj.tasksDone[t.Index] = true
+		if len(uj.tasksDone) == uj.spec.Tasks && w.atEnd != nil && w.atEnd(t.Job) && !uj.asked {
+			w.meets("cancelled at the end")
+			w.group.Go(func() { w.insist(t.Job, len(uj.tasksDone)) })
+		}
 	}
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -122,7 +122,7 @@
 
 func (c *Cluster) start() error {
 	stateAddr, err := c.serve(nil, func(ctx context.Context, r *http.Request, body []byte) *transport.Response {
-		return c.state.Serve(ctx, r.Method, r.URL.Path, r.URL.Query(), body)
+		return c.state.Serve(ctx, "", r.Method, r.URL.Path, r.URL.Query(), body)
 	})
 	if err != nil {
 		return err
--- a/internal/standin/state/state.go
+++ b/internal/standin/state/state.go
@@ -51,6 +51,8 @@
 
 	// Out: an outage. Stuck: watches bring nothing.
 	Out, Stuck bool
+	// Refused are the clients that alone are refused; their open watches wait.
+	Refused map[string]bool
 	// Limits that nobody announced; 0: none.
 	HiddenOps, HiddenValue int
 
@@ -86,17 +88,17 @@
 	return answer(400, protocol.TransactionResult{Error: reason})
 }
 
-// Serve answers one request.
-func (s *Service) Serve(ctx context.Context, method, path string, q url.Values, body []byte) *transport.Response {
+// Serve answers one request of a client.
+func (s *Service) Serve(ctx context.Context, client, method, path string, q url.Values, body []byte) *transport.Response {
 	s.lock.Lock()
 	defer s.lock.Unlock()
 	if s.Requests != nil && !s.Requests.Allow() {
 		return answer(429, map[string]any{})
 	}
 	if path == "/changes" {
-		return s.watch(ctx, q)
+		return s.watch(ctx, client, q)
 	}
-	if s.Out {
+	if s.Out || s.Refused[client] {
 		return answer(503, map[string]any{})
 	}
 	s.expire()
@@ -283,7 +285,7 @@
 }
 
 // watch is called and returns with the lock held.
-func (s *Service) watch(ctx context.Context, q url.Values) *transport.Response {
+func (s *Service) watch(ctx context.Context, client string, q url.Values) *transport.Response {
 	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
 	if err != nil {
 		return malformed("after is missing")
@@ -291,7 +293,7 @@
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	end := time.Now().Add(min(maxWait, time.Duration(wait)*time.Millisecond))
 	for {
-		if !s.Out && !s.Stuck {
+		if !s.Out && !s.Stuck && !s.Refused[client] {
 			s.expire()
 			if after < s.dropped {
 				return answer(410, map[string]any{"epoch": s.Revision})
@@ -340,6 +342,9 @@
 // Outage starts or ends an outage, with the lock held; leases have their full
 // time again afterwards.
 func (s *Service) Outage(on bool) {
+	if !s.Out {
+		s.expire() // what had run out before
+	}
 	s.Out = on
 	for _, l := range s.leases {
 		l.ends = time.Now().Add(l.ttl)
--- a/internal/standin/state/state_test.go
+++ b/internal/standin/state/state_test.go
@@ -17,7 +17,7 @@
 	if txn.If == nil {
 		txn.If = []protocol.Condition{}
 	}
-	return s.Serve(context.Background(), "POST", "/commit", nil, protocol.Encode(txn)).Status
+	return s.Serve(context.Background(), "", "POST", "/commit", nil, protocol.Encode(txn)).Status
 }
 
 func TestConditionsLeasesAndWatches(t *testing.T) {
@@ -49,12 +49,12 @@
 			t.Errorf("revision %d after two changes", s.Revision)
 		}
 		var lease protocol.Lease
-		resp := s.Serve(context.Background(), "POST", "/grants", nil, protocol.Encode(protocol.LeaseRequest{TTLMS: 1000}))
+		resp := s.Serve(context.Background(), "", "POST", "/grants", nil, protocol.Encode(protocol.LeaseRequest{TTLMS: 1000}))
 		if err := protocol.Decode(resp.Body, &lease); err != nil || commit(t, s, protocol.Transaction{Then: put("leased", lease.ID)}) != 200 {
 			t.Fatal("a leased key could not be put")
 		}
 		time.Sleep(1100 * time.Millisecond)
-		if resp := s.Serve(context.Background(), "GET", "/store/leased", nil, nil); resp.Status != 404 {
+		if resp := s.Serve(context.Background(), "", "GET", "/store/leased", nil, nil); resp.Status != 404 {
 			t.Error("a key outlived its lease")
 		}
 		// A watch waits for a change under its prefix, and gives up on time.
@@ -65,7 +65,7 @@
 		var ev protocol.Events
 		begun := time.Now()
 		q := url.Values{"under": {"w/"}, "after": {"1"}, "wait_ms": {"5000"}}
-		resp = s.Serve(context.Background(), "GET", "/changes", q, nil)
+		resp = s.Serve(context.Background(), "", "GET", "/changes", q, nil)
 		if err := protocol.Decode(resp.Body, &ev); err != nil || len(ev.Events) != 1 || time.Since(begun) > 1200*time.Millisecond {
 			t.Errorf("%v, %d events after %s", err, len(ev.Events), time.Since(begun))
 		}
@@ -75,7 +75,7 @@
 				t.Fatal("put failed")
 			}
 		}
-		if resp := s.Serve(context.Background(), "GET", "/changes", q, nil); resp.Status != 410 {
+		if resp := s.Serve(context.Background(), "", "GET", "/changes", q, nil); resp.Status != 410 {
 			t.Errorf("a watch from the beginning got %d", resp.Status)
 		}
 	})
