Machines of withdrawn tasks are deleted in time by their owner; old copies prove nothing

- An owner whose bound had run out in an outage, and which therefore answered none of its workers, took itself for cut off from them and gave its parts up.
A worker that comes here counts as heard, answered or not.

--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -68,7 +68,7 @@
 			defer stop()
 			go c.loop(ctx)
 			if what == "final" {
-				c.do(func() { c.setFinal("job-1", protocol.StatusDone) })
+				c.do(func() { c.setFinal("job-1", protocol.StatusDone, time.Now()) })
 			} else {
 				c.store = bookkeeping.NewStore(refusing{}, "state:1", c.set.Params.State, 3)
 				time.Sleep(1600 * time.Millisecond) // until it counts as down
@@ -320,7 +320,7 @@
 							c, next = pipelines(b, n, deep), 0
 							b.StartTimer()
 						}
-						c.setFinal(fmt.Sprint("job-", next), status)
+						c.setFinal(fmt.Sprint("job-", next), status, time.Now())
 						if next++; !deep || status == protocol.StatusWithdrawn {
 							next = n
 						}
--- a/internal/coordination/carry.go
+++ b/internal/coordination/carry.go
@@ -280,6 +280,7 @@
 	if m == nil || m.rec.Part != p.index {
 		return
 	}
+	m.reports(r)
 	m.answeredBy = now // at the latest
 	if r.Token > c.token(m) || !m.newer(r) {
 		return // late, or older than what came otherwise
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -267,14 +267,20 @@
 	strayed := false
 	for _, m := range c.machines {
 		p := c.parts[m.rec.Part]
-		if !p.mine || m.lastHeard.After(m.strayedSince) {
+		// A worker that comes and can't be answered, in an outage say, reaches this
+		// controller all the same.
+		heard := m.lastHeard
+		if m.cameHere.After(heard) {
+			heard = m.cameHere
+		}
+		if !p.mine || heard.After(m.strayedSince) {
 			m.strayedSince = time.Time{}
 		}
 		if !p.mine || now.Sub(p.claimed) < silence {
 			continue
 		}
 		machines++
-		if now.Sub(m.lastHeard) > silence {
+		if now.Sub(heard) > silence {
 			silent++
 		}
 		// A worker that was just sent home needs a moment to get here.
--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -329,7 +329,7 @@
 		}
 	}
 	for _, j := range b.doomed {
-		c.setFinal(j.spec.ID, protocol.StatusWithdrawn)
+		c.setFinal(j.spec.ID, protocol.StatusWithdrawn, now)
 	}
 	for _, j := range b.finals {
 		c.metrics.Took(observe.Finish, now.Sub(j.received), now)
@@ -338,7 +338,7 @@
 		}
 		c.log.Info("job done", "job", j.spec.ID, "class", j.spec.Class, "tasks", j.spec.Tasks, "after", now.Sub(j.received),
 			"due_s", j.spec.DeadlineS)
-		c.setFinal(j.spec.ID, protocol.StatusDone)
+		c.setFinal(j.spec.ID, protocol.StatusDone, now)
 	}
 	for _, bc := range b.chunks {
 		c.dropIfOver(bc.job)
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -612,17 +612,21 @@
 	if c.listedEnds != nil {
 		c.listedEnds[id] = steady(f.AtMS, time.Now())
 	}
-	c.setFinal(id, f.Status)
+	at := time.Now()
+	if f.AtMS > 0 {
+		at = steady(f.AtMS, at)
+	}
+	c.setFinal(id, f.Status, at)
 }
 
-// setFinal notes that a job is done or withdrawn, for good.
-func (c *Controller) setFinal(id, status string) {
+// setFinal notes that a job is done or withdrawn, for good, and since when at the most.
+func (c *Controller) setFinal(id, status string, at time.Time) {
 	if c.finals[id] != "" {
 		return
 	}
 	c.finals[id] = status
-	if status == protocol.StatusWithdrawn && c.listedEnds == nil { // what is listed is mostly old
-		c.news.note(id, time.Now())
+	if status == protocol.StatusWithdrawn && time.Since(at) < c.cancelS {
+		c.news.note(id, at)
 	}
 	for _, j := range c.graph.ended(id, status == protocol.StatusDone, time.Now()) {
 		if p := c.parts[j.part]; p.mine && p.ready {
@@ -642,7 +646,7 @@
 		delete(c.jobs, id)
 		return
 	}
-	j.withdrawn = true
+	j.withdrawn, j.withdrawnAt = true, at
 	j.queue = nil
 	now := time.Now()
 	if status == protocol.StatusWithdrawn {
--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -162,7 +162,7 @@
 	if s := c.scarcity(now); s.Contested("big", 2) {
 		t.Error("machines are kept for it")
 	}
-	c.setFinal("job-1", protocol.StatusDone)
+	c.setFinal("job-1", protocol.StatusDone, time.Now())
 	if j.blocked || j.since().Before(now) {
 		t.Errorf("blocked %v, ready since %s", j.blocked, j.since())
 	}
@@ -200,18 +200,18 @@
 	due(b, 54)
 	due(a, 48)
 	// One that comes late, when the first is over.
-	c.setFinal("job-1", protocol.StatusDone)
+	c.setFinal("job-1", protocol.StatusDone, time.Now())
 	sooner := plain("job-4", "job-2", "job-1")
 	sooner.DeadlineS = 30
 	c.take(sooner)
 	due(b, 24)
-	c.setFinal("job-4", protocol.StatusWithdrawn)
+	c.setFinal("job-4", protocol.StatusWithdrawn, time.Now())
 	due(b, 54)
-	c.setFinal("job-3", protocol.StatusWithdrawn)
+	c.setFinal("job-3", protocol.StatusWithdrawn, time.Now())
 	if _, ok := b.deadline(); ok || b.urgency() != protocol.Low {
 		t.Error("the need outlives the job")
 	}
-	c.setFinal("job-2", protocol.StatusDone)
+	c.setFinal("job-2", protocol.StatusDone, time.Now())
 	if n := len(c.graph.index) + len(c.graph.doomed); n > 0 || len(c.graph.free) != len(c.graph.nodes) {
 		t.Errorf("%d jobs are left in the graph", n)
 	}
--- a/internal/coordination/follow_test.go
+++ b/internal/coordination/follow_test.go
@@ -153,7 +153,7 @@
 		cold.start(complain, listing(), rev, time.Now())
 		if seed%3 == 0 {
 			for _, c := range two {
-				c.setFinal("job-2", protocol.StatusWithdrawn)
+				c.setFinal("job-2", protocol.StatusWithdrawn, time.Now())
 			}
 		}
 		for _, c := range two {
--- a/internal/coordination/leader.go
+++ b/internal/coordination/leader.go
@@ -313,7 +313,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.machines)) {
 		m := c.machines[name]
 		f := fleet.Machine{Name: name, Part: m.rec.Part, Kind: kindOf(m.rec), Type: m.typ, Serves: !m.lost && !m.faulty,
-			Failed: l.listed[name].State == protocol.MachineFailed, Recorded: m.recordedAt, Moved: l.moved[name], Leaving: l.deleting[name]}
+			Failed: l.listed[name].State == protocol.MachineFailed || c.deleted(name), Recorded: m.recordedAt, Moved: l.moved[name], Leaving: l.deleting[name]}
 		if st := states[name]; st != nil {
 			f.Idle, f.Lost, f.Faulty, f.NeverUp, f.Retiring, f.IdleS = st.Idle, st.Lost, st.Faulty, st.NeverUp, st.Retiring, st.IdleS
 		}
@@ -322,6 +322,13 @@
 	return v
 }
 
+// deleted says whether a machine is known to be gone though it is on record: the write of
+// its record went unanswered and was applied after the record's end (44).
+func (c *Controller) deleted(name string) bool {
+	_, gone := c.gone[name]
+	return gone
+}
+
 func kindOf(rec bookkeeping.Machine) fit.Kind {
 	return fit.Kind{Type: rec.Type, Zone: rec.Zone, Spot: rec.Spot}
 }
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"micaspindle/internal/bookkeeping"
@@ -242,3 +243,162 @@
 		})
 	})
 }
+
+// What an old copy of a report may and may not do at an owner: it wins no time for a
+// machine that says nothing any more, un-fences nothing and ends nothing (48).
+func TestOldReportsProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end := unrun(t)
+		defer end()
+		p := c.parts[0]
+		renew := func() { c.fresh, c.renewed, c.synced = time.Now(), time.Now(), true }
+		p.mine, p.ready, p.version, p.claimed = true, true, 5, time.Now()
+		c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}, 3, time.Now())
+		m := c.machines["m-1"]
+		task := []protocol.TaskReport{{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning}}
+		j := &job{spec: spec("job-1", 1, "red")}
+		j.own()
+		c.jobs["job-1"] = j
+		a := &attempt{job: j, number: 1, machine: m, session: 2, state: attemptCommitted}
+		j.live[0], j.queue = a, nil
+		m.attempts[attemptKey(a.wire(), 1)] = a
+		report := func(session, sequence, token uint64, tasks []protocol.TaskReport) int {
+			renew()
+			r := &protocol.Report{Machine: "m-1", Addr: "m-1:1", Session: session, Sequence: sequence, Token: token, Tasks: tasks}
+			return c.handleReport(r, protocol.Encode(r)).Status
+		}
+		if report(2, 40, 5, task) != 200 || !m.fenced || a.state != attemptSeen {
+			t.Fatal("the newest report was not taken in")
+		}
+		heard := time.Now()
+		for _, old := range []struct {
+			name                     string
+			session, sequence, token uint64
+		}{{"the same", 2, 40, 5}, {"older", 2, 12, 5}, {"of an owner before", 2, 39, 4}, {"of the session before", 1, 90, 5}} {
+			time.Sleep(time.Second)
+			if status := report(old.session, old.sequence, old.token, nil); status == 200 {
+				t.Errorf("%s: answered", old.name)
+			}
+			if !m.fenced || m.session != 2 || !a.live() || !m.answeredBy.Equal(heard) || !m.lastHeard.Equal(heard) {
+				t.Errorf("%s: fenced %v, session %d, live %v, answered %s and heard %s late", old.name, m.fenced, m.session, a.live(),
+					m.answeredBy.Sub(heard), m.lastHeard.Sub(heard))
+			}
+		}
+		// A report that was under way while orders were answered is no copy.
+		renew()
+		c.observe(m, &protocol.Report{Machine: "m-1", Session: 2, Sequence: 44, Token: 5, Tasks: task}, time.Now())
+		if report(2, 43, 5, task) != 200 || !m.answeredBy.Equal(time.Now()) {
+			t.Error("a report that orders overtook is not answered")
+		}
+		time.Sleep(time.Duration(float64(c.leaseS)*drift) + margin + tickEvery)
+		report(2, 41, 5, task)
+		if c.checkMachines(time.Now()); !m.lost || len(j.live) != 0 {
+			t.Error("old reports keep a machine that is gone")
+		}
+	})
+}
+
+// A withdrawn task that can't be stopped has its machine deleted by its owner, without the
+// leader and without the state service, and before cancel_s is over; one whose lease
+// provably runs out in time has not.
+func TestMachinesOfWithdrawnTasksAreDeletedInTime(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// taken: the owner is lost with the withdrawal, and its successor can't know whom
+		// it has answered; outage: the state service ends as well.
+		taken, outage bool
+		// later: the withdrawal comes after that, so that it is known whom nobody answers.
+		later     bool
+		deaf, cut bool
+		deleted   bool
+	}{
+		{name: "silent under the same owner", cut: true},
+		{name: "silent under the same owner in an outage", cut: true, outage: true},
+		{name: "deaf under the same owner", deaf: true},
+		{name: "silent after a takeover", taken: true, cut: true, deleted: true},
+		{name: "silent after a takeover, then an outage", taken: true, cut: true, outage: true, deleted: true},
+		{name: "withdrawn after the takeover, then an outage", taken: true, later: true, cut: true, outage: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			simulatePrepared(t, 303, gapWorld, func(w *world) {
+				time.Sleep(3 * time.Second)
+				for i := range 4 {
+					s := spec(fmt.Sprintf("job-%d", i), 4, "green")
+					s.EstimateS, s.DeadlineS = 600, 0
+					w.submit(s)
+				}
+				time.Sleep(20 * time.Second)
+				part := 0
+				w.in("n0", func(c *Controller) { part = c.teamPart[c.teamIndex["green"]] })
+				owner := w.owns(part)
+				var on []string
+				w.locked(func() {
+					if on = w.runs("job-1"); len(on) != 4 {
+						t.Fatalf("%d tasks run", len(on))
+					}
+					out := map[string]bool{}
+					for _, m := range on {
+						out[m] = true
+					}
+					if tc.cut {
+						w.cut = func(_, host string) bool { return out[host] }
+					}
+					if tc.deaf {
+						w.deaf = out
+					}
+				})
+				told := time.Now()
+				withdraw := func() {
+					if !w.withdrawAt(w.others(owner)[0], "job-1") {
+						t.Fatal("not withdrawn")
+					}
+					told = time.Now()
+				}
+				if !tc.later {
+					withdraw()
+				}
+				if tc.taken {
+					w.kill(owner)
+					for range 100 {
+						time.Sleep(100 * time.Millisecond)
+						if w.owns(part) != "" {
+							break
+						}
+					}
+				}
+				if tc.later {
+					withdraw()
+				}
+				if tc.outage {
+					w.outage(true)
+				}
+				missing := func() (gone int) {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					for _, m := range on {
+						if w.cloud.Machines[m] == nil {
+							gone++
+						}
+					}
+					return gone
+				}
+				time.Sleep(time.Until(told.Add(30 * time.Second)))
+				if gone := missing(); tc.taken && gone > 0 {
+					t.Errorf("%d machines deleted though there was time to stop what is on them", gone)
+				}
+				time.Sleep(time.Until(told.Add(43 * time.Second)))
+				gone := missing()
+				// Under the same owner the leader sends lost machines away by and by.
+				if tc.deleted && gone != len(on) || !tc.deleted && tc.outage && gone > 0 {
+					t.Errorf("%d of %d machines deleted within cancel_s", gone, len(on))
+				}
+				if w.owns(part) == "" && !tc.outage {
+					t.Error("nobody owns the part")
+				}
+				w.locked(func() { w.cut, w.deaf = nil, nil })
+				w.outage(false)
+				time.Sleep(30 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -98,17 +98,19 @@
 
 	owned     bool
 	withdrawn bool
-	finishing bool
-	done      []bool
-	doneCount int
-	queue     []int // tasks that wait, in order
-	live      map[int]*attempt
-	chunks    map[int]*chunk
-	failures  int
-	failedOn  map[string]bool      // nil: nowhere
-	ranS      map[string][]float64 // run times of done tasks, by machine; nil: none is done
-	holdTill  time.Time
-	running   int
+	// withdrawnAt is when it was withdrawn, at the latest; zero: longer ago than is known.
+	withdrawnAt time.Time
+	finishing   bool
+	done        []bool
+	doneCount   int
+	queue       []int // tasks that wait, in order
+	live        map[int]*attempt
+	chunks      map[int]*chunk
+	failures    int
+	failedOn    map[string]bool      // nil: nowhere
+	ranS        map[string][]float64 // run times of done tasks, by machine; nil: none is done
+	holdTill    time.Time
+	running     int
 	// touched: some record has changed since it was last seen that none has.
 	touched bool
 
@@ -193,9 +195,12 @@
 	heard     bool   // has reported to us at all
 	session   uint64 // newest seen
 	sequence  uint64
-	hint      uint64 // the session, as a former owner told it
-	fenced    bool   // a report under our token has come
+	reported  struct{ session, sequence uint64 } // newest report that came as one
+	hint      uint64                             // the session, as a former owner told it
+	fenced    bool                               // a report under our token has come
 	lastHeard time.Time
+	// cameHere is when its worker last came here, whether it was answered or not.
+	cameHere time.Time
 	// sentAway is when its worker was last told to report to its carrier, carriedAt when a
 	// carrier last told of a report.
 	sentAway, carriedAt time.Time
@@ -205,6 +210,8 @@
 	keptFor      int
 	answeredBy   time.Time // last moment at which anybody may have answered a report
 	lost         bool
+	deleted      bool      // by this controller: the cloud has confirmed it
+	deleteTried  time.Time // when that was last tried
 	notice       time.Time // when the cloud takes it away; zero if not announced
 	strayedSince time.Time // since when its worker visits others and not us
 	retiring     time.Time
--- a/internal/coordination/news.go
+++ b/internal/coordination/news.go
@@ -12,38 +12,52 @@
 // workers still come to it. The news may be lost; what a task may then outlive its job's
 // withdrawal by is bounded by what its owner is informed of (42, 43). It belongs to the
 // loop.
-type news struct {
-	jobs []string
-	at   []time.Time
+type news struct{ list []withdrawn }
+
+// withdrawn is a job and since when at the most it is withdrawn.
+type withdrawn struct {
+	job string
+	at  time.Time
 }
 
 // newsMost is how many withdrawals are told at a time, the newest.
 const newsMost = 500
 
 // note adds a withdrawal.
-func (n *news) note(job string, now time.Time) {
-	n.jobs, n.at = append(n.jobs, job), append(n.at, now)
-	if over := len(n.jobs) - newsMost; over > 0 {
-		n.jobs, n.at = n.jobs[over:], n.at[over:]
-	}
+func (n *news) note(job string, at time.Time) {
+	n.list = append(n.list, withdrawn{job, at})
+	n.list = n.list[max(0, len(n.list)-newsMost):]
 }
 
 // latest is what there is to tell: a withdrawal for as long as a task of it may run.
-func (n *news) latest(now time.Time, keep time.Duration) []string {
+func (n *news) latest(now time.Time, keep time.Duration) (told []*peer.Withdrawn) {
 	old := 0
-	for old < len(n.at) && now.Sub(n.at[old]) > keep {
+	for old < len(n.list) && now.Sub(n.list[old].at) > keep {
 		old++
 	}
-	n.jobs, n.at = n.jobs[old:], n.at[old:]
-	return n.jobs
+	n.list = n.list[old:]
+	for _, w := range n.list {
+		told = append(told, &peer.Withdrawn{Job: w.job, AgeMs: uint32(max(0, now.Sub(w.at).Milliseconds()))})
+	}
+	return told
+}
+
+// since is when a job was withdrawn, at the latest; zero: longer ago than is kept.
+func (n *news) since(job string) time.Time {
+	for _, w := range n.list {
+		if w.job == job {
+			return w.at
+		}
+	}
+	return time.Time{}
 }
 
 // heardNews takes in what another controller has seen committed. Such a record never
 // changes, so that it is as good as read, however late it comes.
-func (c *Controller) heardNews(sum *peer.Summary) {
-	for _, id := range sum.Withdrawn {
-		if protocol.ValidID(id) {
-			c.setFinal(id, protocol.StatusWithdrawn)
+func (c *Controller) heardNews(sum *peer.Summary, now time.Time) {
+	for _, w := range sum.Withdrawn {
+		if protocol.ValidID(w.Job) {
+			c.setFinal(w.Job, protocol.StatusWithdrawn, now.Add(-time.Duration(w.AgeMs)*time.Millisecond))
 		}
 	}
 }
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -99,7 +99,7 @@
 	}
 	ps.heard, ps.summary = now, sum
 	ps.noteReporting()
-	c.heardNews(sum)
+	c.heardNews(sum, now)
 	c.carrying.heard(sum)
 	// Addresses learnt by others let a new owner fence at once.
 	for _, part := range sum.Parts {
@@ -192,7 +192,7 @@
 		ps.Machines = append(ps.Machines, st)
 		// A machine that still boots, or was just moved here, will take some
 		// of what waits.
-		if m.typ != nil && !m.lost && !m.faulty && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
+		if m.typ != nil && !m.lost && !m.faulty && !c.deleted(m.name) && m.retiring.IsZero() && (!m.heard || !m.fenced && m.notice.IsZero()) &&
 			(m.age(now) < usualBoot(m.typ) || now.Sub(m.ownedSince) < c.reportS+time.Second) {
 			coming = append(coming, m)
 			left[m] = m.free()
--- a/internal/coordination/reassign.go
+++ b/internal/coordination/reassign.go
@@ -94,7 +94,7 @@
 		return unavailable(err)
 	}
 	c.do(func() {
-		c.setFinal(id, protocol.StatusWithdrawn)
+		c.setFinal(id, protocol.StatusWithdrawn, time.Now())
 		c.applyJobRecord(body.As, value)
 	})
 	return statusResponse(200, protocol.JobStatus{ID: body.As, Status: protocol.StatusQueued})
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -478,7 +478,7 @@
 	var conflict *bookkeeping.Conflict
 	switch {
 	case err == nil:
-		c.do(func() { c.setFinal(id, protocol.StatusWithdrawn) })
+		c.do(func() { c.setFinal(id, protocol.StatusWithdrawn, time.Now()) })
 		return protocol.StatusWithdrawn, nil
 	case !errors.As(err, &conflict):
 		return "", err
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -34,6 +34,7 @@
 	if resp, carried := c.carrying.answer(m, r, raw, now); carried {
 		return resp
 	}
+	m.cameHere = now
 	if !c.entitled(p, now) {
 		if p.owner != "" && p.owner != c.set.Label {
 			c.strayed[r.Machine] = now
@@ -48,6 +49,9 @@
 		// only hold the worker here.
 		return refuse(503, "superseded", 1)
 	}
+	if !m.reports(r) {
+		return refuse(503, "a newer report has come", 1)
+	}
 	if r.Addr != "" {
 		m.rec.Addr = r.Addr
 	}
@@ -83,7 +87,7 @@
 // observe takes in a report, from whichever way it came.
 func (c *Controller) observe(m *machine, r *protocol.Report, now time.Time) {
 	p := c.parts[m.rec.Part]
-	if !p.ready || !m.newer(r) {
+	if !p.ready || m.deleted || !m.newer(r) {
 		return
 	}
 	if (!m.heard || r.Session > m.session) && m.answeredBy.Before(now) {
@@ -139,6 +143,17 @@
 	}
 }
 
+// reports takes in that a report came as one, and says whether it did for the first time.
+// A worker has one under way at a time, so that nobody waits any more for an answer to one
+// that comes after a newer one, or twice: it can keep no lease alive (48).
+func (m *machine) reports(r *protocol.Report) bool {
+	if r.Session < m.reported.session || r.Session == m.reported.session && r.Sequence <= m.reported.sequence {
+		return false
+	}
+	m.reported.session, m.reported.sequence = r.Session, r.Sequence
+	return true
+}
+
 // newer says whether a report is newer than all that came before.
 func (m *machine) newer(r *protocol.Report) bool {
 	return r.Session > m.session || r.Session == m.session && r.Sequence > m.sequence
@@ -606,6 +621,12 @@
 // checkMachines finds machines whose lease must have run out.
 func (c *Controller) checkMachines(now time.Time) {
 	bound := time.Duration(float64(c.leaseS)*drift) + margin
+	var overdue []*machine
+	defer func() {
+		if len(overdue) > 0 {
+			c.deleteInTime(overdue[:min(len(overdue), deleteMost)])
+		}
+	}()
 	for _, m := range c.machines {
 		p := c.parts[m.rec.Part]
 		if !p.mine || !p.ready || m.lost {
@@ -621,6 +642,10 @@
 			}
 			continue
 		}
+		if c.outlasts(m, answered.Add(bound), now) && now.Sub(m.deleteTried) > deletePause {
+			m.deleteTried = now
+			overdue = append(overdue, m)
+		}
 		if !m.retiring.IsZero() && now.Sub(m.retiring) > 30*time.Second {
 			m.retiring = time.Time{}
 		}
@@ -641,6 +666,62 @@
 	}
 }
 
+const (
+	// deleteAhead is how long before a withdrawn task must be gone its machine is deleted,
+	// if it could not be stopped; deleteAfter is the least time that a stop is given.
+	deleteAhead = 8 * time.Second
+	deleteAfter = 3 * time.Second
+	deletePause = 2 * time.Second
+	deleteMost  = 100 // names in a request
+)
+
+// outlasts says whether a task of a withdrawn job may be on a machine for longer than
+// cancel_s: it was not stopped, and the machine's lease, which may go on until ends, does
+// not provably run out in time (46). A machine that is merely silent is left alone.
+func (c *Controller) outlasts(m *machine, ends, now time.Time) bool {
+	for _, a := range m.attempts {
+		if !a.live() || !a.stopping || !a.job.withdrawn || now.Sub(a.stopAt) < deleteAfter {
+			continue
+		}
+		due := a.job.withdrawnAt.Add(c.cancelS)
+		if now.After(due.Add(-deleteAhead)) && ends.After(due.Add(-margin)) {
+			return true
+		}
+	}
+	return false
+}
+
+// deleteInTime has the cloud delete machines on which withdrawn tasks may go on. Their
+// owner does so itself: the leader needs the state service, which the trouble that keeps a
+// task from being stopped may have taken away. The records go later, as of lost machines.
+func (c *Controller) deleteInTime(machines []*machine) {
+	names := make([]string, 0, len(machines))
+	for _, m := range machines {
+		names = append(names, m.name)
+	}
+	c.log.Info("deleting machines", "machines", names, "reason", "withdrawn tasks on them can't be stopped in time")
+	c.duty.Go(func() {
+		status, err := c.cloud("POST", "/machines/delete", protocol.MachineNames{Machines: names}, nil)
+		if err != nil || status != 200 {
+			c.log.Info("machines not deleted", "machines", names, "status", status, "reason", err)
+			return
+		}
+		c.do(func() {
+			now := time.Now()
+			for _, m := range machines {
+				if c.machines[m.name] != m {
+					continue
+				}
+				c.metrics.Count(observe.MachineLost, 1)
+				m.deleted, m.lost, m.fenced = true, true, false
+				for _, a := range m.sorted() {
+					c.attemptGone(a, "machine is deleted", now)
+				}
+			}
+		})
+	})
+}
+
 // pending says whether direct orders could bring something forward.
 func (m *machine) pending() bool {
 	for _, a := range m.attempts {
