--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -33,6 +33,8 @@
 	noNews bool
 	// atEnd is asked whether a job is called off at the end of its last task.
 	atEnd func(job string) bool
+	// ended, if set, hears of the ends of jobs' last tasks.
+	ended func(job string)
 	steps steps
 	cuts  cuts
 	met   map[string]int
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -467,6 +467,9 @@
 	if t.Cause == protocol.CauseDone {
 		uj := w.jobs[t.Job]
 		uj.tasksDone[t.Index] = true
+		if len(uj.tasksDone) == uj.spec.Tasks && w.ended != nil {
+			w.ended(t.Job)
+		}
 		if len(uj.tasksDone) == uj.spec.Tasks && w.atEnd != nil && w.atEnd(t.Job) && !uj.asked {
 			w.meets("cancelled at the end")
 			w.group.Go(func() { w.insist(t.Job, len(uj.tasksDone)) })
