KNOWN-RED.txt: tests that may fail are read, checked, passed over and printed

make check runs the tests by 'spindleregress tests', which refuses more than three lines, lines without package, test, cause and issue, and names that are no test; it passes over just these and prints them. The list is empty.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 check: build
 	test -z "$$(gofmt -l cmd internal)"
 	go vet ./...
-	go test -race -timeout 20m ./...
+	target/spindleregress tests
 
 # The controller as deploy/service.toml does; the others need not link to libc.
 build:
--- a/cmd/spindleregress/main.go
+++ b/cmd/spindleregress/main.go
@@ -30,6 +30,7 @@
 	Run     runCmd     `cmd:"" help:"Play the standard days, then compare."`
 	Night   nightCmd   `cmd:"" help:"Play the project's own hard days: is half of every class and team served?"`
 	Hunt    huntCmd    `cmd:"" help:"Play the project's own days on which two troubles meet, and hunt the sites: does a rule break?"`
+	Tests   testsCmd   `cmd:"" help:"Run the project's tests but those that are known to fail."`
 	Compare compareCmd `cmd:"" help:"Compare the latest scores of the journal with those before, without playing anything."`
 }
 
--- a/cmd/spindleregress/main_test.go
+++ b/cmd/spindleregress/main_test.go
@@ -144,3 +144,41 @@
 		})
 	}
 }
+
+// A module of two tests, one of which fails: it passes only if the list names just that one.
+func TestOnlyKnownRedsArePassedOver(t *testing.T) {
+	usage := new(usageError)
+	for name, c := range map[string]struct {
+		list string
+		is   func(error) bool
+	}{
+		"no list":            {"", func(err error) bool { return errors.Is(err, errMayNotLand) }},
+		"the one that is":    {"p TestRed: it is red (issue 1)", func(err error) bool { return err == nil }},
+		"another one":        {"p TestGreen: it is green (issue 1)", func(err error) bool { return errors.Is(err, errMayNotLand) }},
+		"a name's beginning": {"p TestRe: half a name (issue 1)", func(err error) bool { return errors.As(err, usage) && strings.Contains(err.Error(), "no test TestRe") }},
+		"another package's":  {"q TestRed: of another (issue 1)", func(err error) bool { return errors.As(err, usage) }},
+		"no package":         {"r TestRed: of none (issue 1)", func(err error) bool { return errors.As(err, usage) }},
+		"junk":               {"TestRed", func(err error) bool { return errors.As(err, usage) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			for file, text := range map[string]string{"go.mod": "module m\ngo 1.24\n",
+				"p/p_test.go":   "package p\nimport \"testing\"\nfunc TestRed(t *testing.T) { t.Fail() }\nfunc TestGreen(*testing.T) {}\n",
+				"q/q_test.go":   "package q\nimport \"testing\"\nfunc TestRedder(*testing.T) {}\n",
+				"KNOWN-RED.txt": c.list} {
+				path := filepath.Join(dir, file)
+				if err := os.MkdirAll(filepath.Dir(path), 0o700); err != nil {
+					t.Fatal(err)
+				}
+				if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+					t.Fatal(err)
+				}
+			}
+			t.Chdir(dir)
+			cmd := &testsCmd{KnownRed: "KNOWN-RED.txt", Timeout: time.Minute}
+			if err := cmd.Run(context.Background()); !c.is(err) {
+				t.Errorf("%v", err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cmd/spindleregress/tests.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path"
+	"slices"
+	"strings"
+	"time"
+
+	"micaspindle/internal/regress"
+)
+
+type testsCmd struct {
+	KnownRed string        `default:"KNOWN-RED.txt" type:"path" help:"The tests that may fail, a line each."`
+	Timeout  time.Duration `default:"20m" help:"How long the tests of a package may take."`
+	Race     bool          `default:"true" negatable:"" help:"With the race detector."`
+}
+
+// Help shows the form of the list.
+func (testsCmd) Help() string {
+	return `Runs all tests but those that KNOWN-RED.txt names, and prints these. A line there is
+"PACKAGE TEST: CAUSE (issue N)"; at most three, and each must name a test that there is.
+Exit codes: 0 all others pass; 1 one does not; 2 the list is wrong.`
+}
+
+// Run runs the tests.
+func (t *testsCmd) Run(ctx context.Context) error {
+	reds, err := t.reds(ctx)
+	if err != nil {
+		return usageError{err}
+	}
+	skip := map[string][]string{}
+	for _, r := range reds {
+		skip[r.Package] = append(skip[r.Package], r.Test)
+	}
+	packages, err := output(ctx, "go", "list", "./...")
+	if err != nil {
+		return err
+	}
+	module, err := output(ctx, "go", "list", "-m")
+	if err != nil {
+		return err
+	}
+	plain := slices.DeleteFunc(strings.Fields(packages), func(p string) bool {
+		return skip[strings.TrimPrefix(strings.TrimPrefix(p, strings.TrimSpace(module)), "/")] != nil
+	})
+	ended := t.test(ctx, "", plain...)
+	for folder, tests := range skip {
+		ended = errors.Join(ended, t.test(ctx, regress.SkipPattern(tests), "./"+folder))
+	}
+	printReds(os.Stdout, reds)
+	if ended != nil {
+		return fmt.Errorf("%w: %w", errMayNotLand, ended)
+	}
+	return nil
+}
+
+// printReds says what was passed over.
+func printReds(out io.Writer, reds []regress.KnownRed) {
+	for _, r := range reds {
+		fmt.Fprintln(out, "KNOWN RED, not run:", r.Line)
+	}
+	if len(reds) == 0 {
+		fmt.Fprintln(out, "KNOWN RED: none")
+	}
+}
+
+// reds reads the list and checks that each line names a test that there is.
+func (t *testsCmd) reds(ctx context.Context) ([]regress.KnownRed, error) {
+	text, err := os.ReadFile(t.KnownRed)
+	if err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	reds, err := regress.ParseKnownRed(string(text))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path.Base(t.KnownRed), err)
+	}
+	for _, r := range reds {
+		name, _, _ := strings.Cut(r.Test, "/")
+		listed, err := output(ctx, "go", "test", "-list", "^"+name+"$", "./"+r.Package)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %s is no package with tests: %w", path.Base(t.KnownRed), r.Package, err)
+		}
+		if !slices.Contains(strings.Fields(listed), name) {
+			return nil, fmt.Errorf("%s: there is no test %s in %s", path.Base(t.KnownRed), name, r.Package)
+		}
+	}
+	return reds, nil
+}
+
+func (t *testsCmd) test(ctx context.Context, skip string, packages ...string) error {
+	args := []string{"test", "-timeout", t.Timeout.String()}
+	if t.Race {
+		args = append(args, "-race")
+	}
+	if skip != "" {
+		args = append(args, "-skip", skip)
+	}
+	cmd := exec.CommandContext(ctx, "go", append(args, packages...)...)
+	cmd.Stdout, cmd.Stderr = os.Stdout, os.Stderr
+	return cmd.Run()
+}
+
+func output(ctx context.Context, name string, args ...string) (string, error) {
+	cmd := exec.CommandContext(ctx, name, args...)
+	out, err := cmd.Output()
+	if ended := new(exec.ExitError); errors.As(err, &ended) {
+		err = fmt.Errorf("%w: %s", err, strings.TrimSpace(string(ended.Stderr)))
+	}
+	return string(out), err
+}
--- /dev/null
+++ b/internal/regress/knownred_test.go
@@ -0,0 +1,37 @@
+package regress
+
+import (
+	"strings"
+	"testing"
+)
+
+func TestKnownRed(t *testing.T) {
+	good := "internal/gate TestCopies: a copy is lost (issue 12)"
+	for name, c := range map[string]struct {
+		text, says string
+		count      int
+	}{
+		"none":           {"", "", 0},
+		"blank lines":    {"\n\n", "", 0},
+		"one":            {good + "\n", "", 1},
+		"a subtest":      {"internal/gate TestCopies/twice: a copy is lost (issue 12)", "", 1},
+		"three":          {strings.Repeat(good+"\n", 3), "", 3},
+		"four":           {strings.Repeat(good+"\n", 4), "at most 3", 0},
+		"no test":        {"internal/gate: a copy is lost (issue 12)", "line 1", 0},
+		"no cause":       {"internal/gate TestCopies: (issue 12)", "line 1", 0},
+		"no issue":       {"internal/gate TestCopies: a copy is lost", "line 1", 0},
+		"no package":     {"TestCopies: a copy is lost (issue 12)", "line 1", 0},
+		"three and junk": {strings.Repeat(good+"\n", 3) + "# why\n", "line 4", 0},
+	} {
+		list, err := ParseKnownRed(c.text)
+		switch {
+		case c.says == "" && (err != nil || len(list) != c.count):
+			t.Errorf("%s: %d, %v", name, len(list), err)
+		case c.says != "" && (err == nil || !strings.Contains(err.Error(), c.says)):
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if got := SkipPattern([]string{"TestA", "TestB/x.y"}); got != `^TestA$|^TestB$/^x\.y$` {
+		t.Errorf("%s", got)
+	}
+}
