--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -21,6 +21,9 @@
 	// later, after newer ones, or with atOnce at once.
 	lateWrites float64
 	atOnce     bool
+	// lateWhat is the kind of the first key written of the transactions that it befalls;
+	// "": all.
+	lateWhat string
 	// lateReports is the share of the workers' reports of which a copy arrives again, from
 	// 2 s to well over a lease later, or with forNext at every controller once asked for.
 	lateReports float64
@@ -35,9 +38,11 @@
 	atEnd func(job string) bool
 	// ended, if set, hears of the ends of jobs' last tasks.
 	ended func(job string)
-	steps steps
-	cuts  cuts
-	met   map[string]int
+	// bootsIn is how soon machines are up; 0: within seconds.
+	bootsIn time.Duration
+	steps   steps
+	cuts    cuts
+	met     map[string]int
 }
 
 type keptReport struct {
@@ -54,10 +59,17 @@
 
 // lateWrite says whether a transaction gets no answer, and how long after it is carried
 // out. The lock is held.
-func (w *world) lateWrite(host, target string) (after time.Duration, lost bool) {
+func (w *world) lateWrite(host, target string, body []byte) (after time.Duration, lost bool) {
 	if host != "state" || target != "/commit" || w.lateWrites == 0 || w.rng.Float64() >= w.lateWrites {
 		return 0, false
 	}
+	if w.lateWhat != "" {
+		var txn protocol.Transaction
+		must(protocol.Decode(body, &txn))
+		if len(txn.Then) == 0 || stepOf(txn.Then[0].Put) != w.lateWhat {
+			return 0, false
+		}
+	}
 	if w.atOnce {
 		return time.Millisecond, true
 	}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -205,7 +205,7 @@
 	trouble := w.trouble
 	cut := w.cut != nil && w.cut(nn.n.label, host) || w.deaf[host]
 	asked := w.asked
-	late, lost := w.lateWrite(host, target)
+	late, lost := w.lateWrite(host, target, body)
 	w.mu.Unlock()
 	w.awaitHeld(nn.n.label)
 	if lost {
@@ -379,6 +379,9 @@
 func (w *world) boot(name string, m *cloud.Machine) {
 	home := w.rng.IntN(3)
 	delay := time.Duration(3000+w.rng.IntN(4000)) * time.Millisecond
+	if w.bootsIn > 0 {
+		delay = w.bootsIn
+	}
 	m.Addr = name + ":9000"
 	w.group.Go(func() {
 		select {
