--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -10,6 +10,8 @@
 
 	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/protocol"
+	"micaspindle/internal/protocol/peer"
+	"micaspindle/internal/standin/worker"
 	"micaspindle/internal/transport"
 )
 
@@ -298,6 +300,55 @@
 	})
 }
 
+// A machine that was deleted, or whose record is written after its end by a late
+// transaction, is neither room to come nor comes back by a report that was on its way (44).
+func TestDeletedMachinesStayDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end := unrun(t)
+		defer end()
+		now := time.Now()
+		c.fresh, c.renewed, c.synced, c.leader.mine = now, now, true, true
+		c.setCatalog([]protocol.MachineType{{Name: "small", CPUs: 8, MemGB: 32, BootS: 5, ZonesOffered: []string{"a"}}})
+		p := c.parts[0]
+		p.mine, p.ready, p.version, p.claimed = true, true, 5, now
+		rec := bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}
+		for i, name := range []string{"m-1", "m-2", "m-3"} {
+			c.machineRecorded(name, rec, uint64(10+i), now)
+		}
+		c.machineDeleted("m-1", now)
+		c.machineRecorded("m-1", rec, 20, now) // the late write of its record
+		failed := map[string]bool{}
+		for _, m := range c.view(nil, now).Machines {
+			failed[m.Name] = m.Failed
+		}
+		if !failed["m-1"] || failed["m-2"] {
+			t.Errorf("to be given up: %v", failed)
+		}
+		waiting := &job{spec: spec("job-1", 6, "red"), received: now}
+		waiting.own()
+		c.jobs["job-1"] = waiting
+		demands := func() (n uint32) {
+			p.order = nil
+			for _, d := range c.partSummary(p, now).Demands {
+				n += d.Count
+			}
+			return n
+		}
+		if n := demands(); n != 2 { // two tasks each on the two that boot
+			t.Errorf("%d tasks ask for machines", n)
+		}
+		m := c.machines["m-3"]
+		m.deleted, m.lost = true, true
+		r := &protocol.Report{Machine: "m-3", Addr: "m-3:1", Session: 1, Sequence: 9, Token: 12}
+		if resp := c.handleReport(r, protocol.Encode(r)); resp.Status == 200 || !m.lost || m.heard {
+			t.Errorf("a report of a deleted machine: %d, lost %v", resp.Status, m.lost)
+		}
+		if c.observe(m, r, now); !m.lost || m.heard {
+			t.Error("an answer of a deleted machine brought it back")
+		}
+	})
+}
+
 // A withdrawn task that can't be stopped has its machine deleted by its owner, without the
 // leader and without the state service, and before cancel_s is over; one whose lease
 // provably runs out in time has not.
@@ -402,3 +453,118 @@
 		})
 	}
 }
+
+// An owner that the state service refuses alone hears of withdrawals from the others and
+// stops what they concern at once; without that, a carrier that knows does so for the
+// machines that report to it (43). The bound is not needed for either.
+func TestNewsAndCarriersStopWithdrawnTasks(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		noNews bool
+	}{{"news", false}, {"a carrier knows", true}} {
+		t.Run(tc.name, func(t *testing.T) {
+			prepare := func(w *world) {
+				crowded(w)
+				w.runTime = func(string, int, string) time.Duration { return 10 * time.Minute }
+			}
+			simulatePrepared(t, 304, prepare, func(w *world) {
+				part := w.flock(8)
+				owner := w.owns(part)
+				var carried, kept int
+				count := func() (carried, kept int) {
+					w.each(func(wk *worker.Worker) {
+						for _, task := range wk.Tasks {
+							if task.Job != "job-0" && task.Job != "job-1" || task.State == protocol.TaskEnded {
+							} else if wk.Homes[wk.Home] == owner {
+								kept++
+							} else {
+								carried++
+							}
+						}
+					})
+					return carried, kept
+				}
+				w.locked(func() { w.noNews = tc.noNews })
+				if carried, kept = count(); carried == 0 || kept == 0 {
+					t.Fatalf("%d tasks on machines that others carry, %d on others", carried, kept)
+				}
+				w.refuse(owner, true)
+				for _, id := range []string{"job-0", "job-1"} {
+					if !w.withdrawAt(w.others(owner)[0], id) {
+						t.Fatal("not withdrawn")
+					}
+				}
+				time.Sleep(1800 * time.Millisecond) // the owner's lease goes on
+				if w.owns(part) != owner {
+					t.Fatal("the part changed hands")
+				}
+				carriedNow, keptNow := count()
+				if carriedNow > 0 || !tc.noNews && keptNow > 0 {
+					t.Errorf("%d and %d of %d and %d tasks left after 1.8 s", carriedNow, keptNow, carried, kept)
+				}
+				if tc.noNews && keptNow == 0 {
+					t.Error("the owner knew without being told")
+				}
+				w.refuse(owner, false)
+				w.locked(func() { w.noNews = false })
+				time.Sleep(25 * time.Second)
+			})
+		})
+	}
+}
+
+// News say for how long a job has been withdrawn, and are taken once.
+func TestNewsBearTheirAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end := unrun(t)
+		defer end()
+		begun := time.Now()
+		c.heardNews(&peer.Summary{Withdrawn: []*peer.Withdrawn{{Job: "job-1", AgeMs: 7000}, {Job: "not an id"}}}, begun)
+		time.Sleep(3 * time.Second)
+		c.heardNews(&peer.Summary{Withdrawn: []*peer.Withdrawn{{Job: "job-1", AgeMs: 500}}}, time.Now())
+		if at := c.news.since("job-1"); begun.Sub(at) != 7*time.Second || len(c.finals) != 1 {
+			t.Errorf("withdrawn %s before it was heard, %d finals", begun.Sub(at), len(c.finals))
+		}
+		if told := c.news.latest(time.Now(), c.cancelS); len(told) != 1 || told[0].AgeMs != 10_000 {
+			t.Errorf("told on: %v", told)
+		}
+		for i := range newsMost + 10 {
+			c.setFinal(fmt.Sprintf("job-%d", 10+i), protocol.StatusWithdrawn, time.Now())
+		}
+		if told := c.news.latest(time.Now(), c.cancelS); len(told) != newsMost {
+			t.Errorf("%d told at a time", len(told))
+		}
+		if time.Sleep(c.cancelS + time.Second); len(c.news.latest(time.Now(), c.cancelS)) != 0 {
+			t.Error("news are told for ever")
+		}
+	})
+}
+
+// The first report that a new owner sees may be an old copy: that it lacks a task does not
+// show that the task is not there, only one under the new token does (48).
+func TestAbsenceIsBelievedUnderTheNewTokenOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end := unrun(t)
+		defer end()
+		now := time.Now()
+		c.fresh, c.renewed, c.synced = now, now, true
+		p := c.parts[0]
+		p.mine, p.ready, p.version, p.claimed = true, true, 9, now
+		c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}, 3, now)
+		m := c.machines["m-1"]
+		j := &job{spec: spec("job-1", 1, "red"), withdrawn: true}
+		j.own()
+		c.jobs["job-1"], c.finals["job-1"] = j, protocol.StatusWithdrawn
+		a := &attempt{job: j, number: 1, machine: m, session: 1, state: attemptCommitted, inherited: true, stopping: true, stopAt: now}
+		j.live[0], j.queue = a, nil
+		m.attempts[attemptKey(a.wire(), 1)] = a
+		old := &protocol.Report{Machine: "m-1", Addr: "m-1:1", Session: 1, Sequence: 10, Token: 5}
+		if c.handleReport(old, protocol.Encode(old)); !a.live() || m.fenced {
+			t.Errorf("a report under an old token that lacks the task: live %v, fenced %v", a.live(), m.fenced)
+		}
+		r := &protocol.Report{Machine: "m-1", Addr: "m-1:1", Session: 1, Sequence: 11, Token: 9}
+		if c.handleReport(r, protocol.Encode(r)); a.live() || !m.fenced {
+			t.Errorf("a report under the new token: live %v, fenced %v", a.live(), m.fenced)
+		}
+	})
+}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -49,8 +49,8 @@
 		// only hold the worker here.
 		return refuse(503, "superseded", 1)
 	}
-	if !m.reports(r) {
-		return refuse(503, "a newer report has come", 1)
+	if m.deleted || !m.reports(r) {
+		return refuse(503, "a newer report has come, or the machine is gone", 1)
 	}
 	if r.Addr != "" {
 		m.rec.Addr = r.Addr
