Only withdrawals of late have machines deleted, not what is left of done jobs

Found by reading the change: an attempt of a done job on a silent machine had the machine deleted 3 s after a takeover, and other work on it. Two wrong steps are found.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -619,7 +619,7 @@
 	c.setFinal(id, f.Status, at)
 }
 
-// setFinal notes that a job is done or withdrawn, for good, and since when at the most.
+// setFinal notes that a job is done or withdrawn, for good, and when it was at the earliest.
 func (c *Controller) setFinal(id, status string, at time.Time) {
 	if c.finals[id] != "" {
 		return
@@ -646,8 +646,10 @@
 		delete(c.jobs, id)
 		return
 	}
-	j.withdrawn, j.withdrawnAt = true, at
-	j.queue = nil
+	j.withdrawn, j.queue = true, nil
+	if status == protocol.StatusWithdrawn {
+		j.withdrawnAt = at
+	}
 	now := time.Now()
 	if status == protocol.StatusWithdrawn {
 		c.log.Info("job withdrawn", "job", id, "live", len(j.live))
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -349,6 +349,43 @@
 	})
 }
 
+// A machine is deleted for what its owner knows to be withdrawn of late, not for what is left
+// of jobs that are done, or were withdrawn longer ago than a lease can last.
+func TestMachinesOfEndedJobsAreNotDeleted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end := unrun(t)
+		defer end()
+		now := time.Now()
+		c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a"}, 3, now)
+		m := c.machines["m-1"]
+		for i, tc := range []struct {
+			status string
+			ago    time.Duration
+			want   bool
+		}{{protocol.StatusDone, 20 * time.Second, false}, {protocol.StatusWithdrawn, time.Second, false},
+			{protocol.StatusWithdrawn, 20 * time.Second, true}, {protocol.StatusWithdrawn, time.Hour, false}} {
+			id := fmt.Sprint("job-", i)
+			j := &job{spec: spec(id, 1, "red")}
+			j.own()
+			c.jobs[id] = j
+			a := &attempt{job: j, number: 1, machine: m, session: 1, state: attemptSeen}
+			j.live[0], j.queue = a, nil
+			m.attempts = map[string]*attempt{attemptKey(a.wire(), 1): a}
+			// As an owner that hears of it, and as one that finds it at a takeover.
+			c.setFinal(id, tc.status, now.Add(-tc.ago))
+			for range 2 {
+				a.stopAt = now.Add(-time.Minute)
+				if got := c.outlasts(m, now.Add(time.Hour), now); got != tc.want && (tc.ago < c.cancelS || tc.status == protocol.StatusDone) {
+					t.Errorf("%s %s ago: %v", tc.status, tc.ago, got)
+				}
+				if j.withdrawnAt = c.news.since(id); tc.ago > c.cancelS && c.outlasts(m, now.Add(time.Hour), now) {
+					t.Errorf("%s %s ago, found at a takeover", tc.status, tc.ago)
+				}
+			}
+		}
+	})
+}
+
 // A withdrawn task that can't be stopped has its machine deleted by its owner, without the
 // leader and without the state service, and before cancel_s is over; one whose lease
 // provably runs out in time has not.
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -96,9 +96,11 @@
 	class    int       // its group among the floor's
 	received time.Time // steady-clock moment of the submission, as well as known
 
-	owned     bool
+	owned bool
+	// withdrawn: it has ended, one way or the other, and what is left of it is stopped.
 	withdrawn bool
-	// withdrawnAt is when it was withdrawn, at the latest; zero: longer ago than is known.
+	// withdrawnAt is when its user was told that it is withdrawn, at the earliest; zero: it
+	// is done, or that is longer ago than any task of it may still run.
 	withdrawnAt time.Time
 	finishing   bool
 	done        []bool
--- a/internal/coordination/news.go
+++ b/internal/coordination/news.go
@@ -14,7 +14,7 @@
 // loop.
 type news struct{ list []withdrawn }
 
-// withdrawn is a job and since when at the most it is withdrawn.
+// withdrawn is a job and when that was at the earliest.
 type withdrawn struct {
 	job string
 	at  time.Time
@@ -42,7 +42,7 @@
 	return told
 }
 
-// since is when a job was withdrawn, at the latest; zero: longer ago than is kept.
+// since is when a job was withdrawn, at the earliest; zero: longer ago than is kept.
 func (n *news) since(job string) time.Time {
 	for _, w := range n.list {
 		if w.job == job {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -680,7 +680,7 @@
 // not provably run out in time (46). A machine that is merely silent is left alone.
 func (c *Controller) outlasts(m *machine, ends, now time.Time) bool {
 	for _, a := range m.attempts {
-		if !a.live() || !a.stopping || !a.job.withdrawn || now.Sub(a.stopAt) < deleteAfter {
+		if !a.live() || !a.stopping || a.job.withdrawnAt.IsZero() || now.Sub(a.stopAt) < deleteAfter {
 			continue
 		}
 		due := a.job.withdrawnAt.Add(c.cancelS)
