--- a/internal/coordination/carry_test.go
+++ b/internal/coordination/carry_test.go
@@ -715,14 +715,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		c, end := unrun(t)
 		defer end()
-		now := time.Now()
-		c.fresh, c.renewed, c.synced = now, now, true
-		p := c.parts[0]
-		p.mine, p.ready, p.version, p.claimed = true, true, 5, now
-		c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}, 3, now)
-		m := c.machines["m-1"]
+		p, m := c.owning(5)
 		time.Sleep(time.Minute) // its boot
-		now = time.Now()
+		now := time.Now()
 		c.fresh, c.renewed = now, now
 		p.ledger.Assign(m.share, "n1")
 		// The carrier asks again and again, so that all that it answered is known.
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -246,17 +246,24 @@
 	})
 }
 
+// owning makes a controller whose loop never runs the informed owner of its first part,
+// with the machine m-1, under a claim.
+func (c *Controller) owning(claim uint64) (*part, *machine) {
+	now := time.Now()
+	c.fresh, c.renewed, c.synced = now, now, true
+	p := c.parts[0]
+	p.mine, p.ready, p.version, p.claimed = true, true, claim, now
+	c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}, 3, now)
+	return p, c.machines["m-1"]
+}
+
 // What an old copy of a report may and may not do at an owner: it wins no time for a
 // machine that says nothing any more, un-fences nothing and ends nothing (48).
 func TestOldReportsProveNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, end := unrun(t)
 		defer end()
-		p := c.parts[0]
-		renew := func() { c.fresh, c.renewed, c.synced = time.Now(), time.Now(), true }
-		p.mine, p.ready, p.version, p.claimed = true, true, 5, time.Now()
-		c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}, 3, time.Now())
-		m := c.machines["m-1"]
+		_, m := c.owning(5)
 		task := []protocol.TaskReport{{Task: "job-1/0", Attempt: 1, State: protocol.TaskRunning}}
 		j := &job{spec: spec("job-1", 1, "red")}
 		j.own()
@@ -265,7 +272,7 @@
 		j.live[0], j.queue = a, nil
 		m.attempts[attemptKey(a.wire(), 1)] = a
 		report := func(session, sequence, token uint64, tasks []protocol.TaskReport) int {
-			renew()
+			c.fresh, c.renewed = time.Now(), time.Now()
 			r := &protocol.Report{Machine: "m-1", Addr: "m-1:1", Session: session, Sequence: sequence, Token: token, Tasks: tasks}
 			return c.handleReport(r, protocol.Encode(r)).Status
 		}
@@ -287,7 +294,6 @@
 			}
 		}
 		// A report that was under way while orders were answered is no copy.
-		renew()
 		c.observe(m, &protocol.Report{Machine: "m-1", Session: 2, Sequence: 44, Token: 5, Tasks: task}, time.Now())
 		if report(2, 43, 5, task) != 200 || !m.answeredBy.Equal(time.Now()) {
 			t.Error("a report that orders overtook is not answered")
@@ -584,11 +590,7 @@
 		c, end := unrun(t)
 		defer end()
 		now := time.Now()
-		c.fresh, c.renewed, c.synced = now, now, true
-		p := c.parts[0]
-		p.mine, p.ready, p.version, p.claimed = true, true, 9, now
-		c.machineRecorded("m-1", bookkeeping.Machine{Type: "small", Zone: "a", Addr: "m-1:1"}, 3, now)
-		m := c.machines["m-1"]
+		_, m := c.owning(9)
 		j := &job{spec: spec("job-1", 1, "red"), withdrawn: true}
 		j.own()
 		c.jobs["job-1"], c.finals["job-1"] = j, protocol.StatusWithdrawn
