--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -299,7 +299,10 @@
 		if w.old[from] {
 			body = ofOld(path, body)
 		}
-		if path == summaryPath && w.noNews {
+		w.mu.Lock()
+		noNews := w.noNews
+		w.mu.Unlock()
+		if path == summaryPath && noNews {
 			body = withoutNews(body)
 		}
 		if w.told != nil && path == talePath {
