--- a/Makefile
+++ b/Makefile
@@ -24,10 +24,10 @@
 SMALL = sites/ombili-admissions.toml sites/bilet-ordasy.toml
 LARGE = next/ombili-admissions-grown.toml next/bilet-ordasy-grown.toml \
 	change/ombili-admissions-next.toml change/bilet-ordasy-next.toml $(FLEET)
-regress: build
-	target/spindleregress run --kit $(KIT) --why "$(WHY)" $(LARGE)
 OPS = more/ombili-admissions-ops.toml more/bilet-ordasy-ops.toml
 HUNT = more/hunt/ombili-admissions-hunt.toml more/hunt/bilet-ordasy-hunt.toml
+regress: build
+	target/spindleregress run --kit $(KIT) --why "$(WHY)" $(LARGE)
 regress-full: build
 	target/spindleregress run --full --kit $(KIT) --why "$(WHY)" $(SMALL) $(LARGE) $(OPS) $(HUNT)
 # The project's own hard days on the large deployments: half of every class and team.
--- a/cmd/spindleregress/hunt.go
+++ b/cmd/spindleregress/hunt.go
@@ -35,7 +35,7 @@
 	if h.Hunt < 0 || len(h.Sizes) == 0 || slices.Min(h.Sizes) < 0.1 || slices.Max(h.Sizes) > 4 {
 		return usageError{errors.New("--hunt must not be below 0, --sizes lie between 0.1 and 4")}
 	}
-	meetings, err := night.Meetings()
+	meetings, err := h.pick(night.Meetings())
 	if err != nil {
 		return err
 	}
@@ -45,16 +45,10 @@
 			sized := d
 			if sized.Machines *= size; size != 1 {
 				sized.Name = fmt.Sprintf("%s-x%g", d.Name, size)
-				if slices.Contains(h.Day, d.Name) {
-					h.Day = append(h.Day, sized.Name)
-				}
 			}
 			days = append(days, sized)
 		}
 	}
-	if !slices.Contains(h.Sizes, 1) { // every wanted day has another name
-		h.Day = slices.DeleteFunc(h.Day, func(name string) bool { return slices.Contains(dayNames(meetings), name) })
-	}
 	earlier, err := regress.Read(c.Journal)
 	if err != nil {
 		return usageError{err}
@@ -68,8 +62,7 @@
 	var ended error
 	for _, s := range h.Sites {
 		fmt.Fprintln(os.Stderr, "hunt", siteName(s))
-		args := []string{"hunt", filepath.Join(h.Kit, s), "--days", fmt.Sprint(h.Hunt), "--why", h.Why}
-		if err := play(ctx, filepath.Join(h.Kit, h.Bench), args); err != nil {
+		if err := play(ctx, filepath.Join(h.Kit, h.Bench), huntArgs(filepath.Join(h.Kit, s), h.Hunt, h.Why)); err != nil {
 			ended = errors.Join(ended, fmt.Errorf("hunt of %s: %w", siteName(s), err))
 		}
 	}
@@ -82,3 +75,8 @@
 	}
 	return errors.Join(played, verdict(c.Output, regress.Compare(nil, hunted), ended))
 }
+
+// huntArgs has the bench hunt a site.
+func huntArgs(site string, days int, why string) []string {
+	return []string{"hunt", site, "--days", fmt.Sprint(days), "--why", why}
+}
--- a/cmd/spindleregress/main.go
+++ b/cmd/spindleregress/main.go
@@ -127,7 +127,7 @@
 	want := len(sites)
 	if r.Full {
 		for _, s := range sites {
-			bounded("hunt", s, "--days", fmt.Sprint(r.Days), "--why", r.Why)
+			bounded(huntArgs(s, r.Days, r.Why)...)
 		}
 		want *= 2
 	}
--- a/cmd/spindleregress/night.go
+++ b/cmd/spindleregress/night.go
@@ -62,13 +62,30 @@
 
 // Run plays and judges the days.
 func (n *nightCmd) Run(ctx context.Context, c *cli) error {
-	days, err := night.Days()
+	days, err := n.pick(night.Days())
 	if err != nil {
 		return err
 	}
 	return n.run(ctx, c, days)
 }
 
+// pick are the wanted ones of the days that there are.
+func (n *dayFlags) pick(days []night.Day, err error) ([]night.Day, error) {
+	if err != nil || len(n.Day) == 0 {
+		return days, err
+	}
+	var names []string
+	for _, d := range days {
+		names = append(names, d.Name)
+	}
+	for _, name := range n.Day {
+		if !slices.Contains(names, name) {
+			return nil, usageError{fmt.Errorf("--day: there is no day %q; there are %s", name, strings.Join(names, ", "))}
+		}
+	}
+	return slices.DeleteFunc(days, func(d night.Day) bool { return !slices.Contains(n.Day, d.Name) }), nil
+}
+
 // run plays and judges days.
 func (n *dayFlags) run(ctx context.Context, c *cli, days []night.Day) error {
 	if n.Seeds < 1 || n.Jobs < 0 || n.Limit <= 0 {
@@ -140,11 +157,6 @@
 
 // prepare writes the site files and days.
 func (n *dayFlags) prepare(dir string, sites []string, days []night.Day) ([]*nightPlay, error) {
-	for _, name := range n.Day {
-		if !slices.ContainsFunc(days, func(d night.Day) bool { return d.Name == name }) {
-			return nil, usageError{fmt.Errorf("--day: there is no day %q; there are %s", name, strings.Join(dayNames(days), ", "))}
-		}
-	}
 	var plays []*nightPlay
 	for _, file := range sites {
 		data, err := os.ReadFile(file)
@@ -152,9 +164,6 @@
 			return nil, usageError{err}
 		}
 		for _, d := range days {
-			if len(n.Day) > 0 && !slices.Contains(n.Day, d.Name) {
-				continue
-			}
 			site, err := night.ReadSite(data)
 			if err != nil {
 				return nil, usageError{fmt.Errorf("%s: %w", file, err)}
@@ -189,13 +198,6 @@
 	return plays, nil
 }
 
-func dayNames(days []night.Day) (names []string) {
-	for _, d := range days {
-		names = append(names, d.Name)
-	}
-	return names
-}
-
 func write(path string, text func() ([]byte, error)) error {
 	data, err := text()
 	if err != nil {
--- a/cmd/spindleregress/tests.go
+++ b/cmd/spindleregress/tests.go
@@ -34,24 +34,23 @@
 	if err != nil {
 		return usageError{err}
 	}
-	skip := map[string][]string{}
+	skip := map[string][]string{} // by import path
 	for _, r := range reds {
-		skip[r.Package] = append(skip[r.Package], r.Test)
+		path, err := output(ctx, "go", "list", "./"+r.Package)
+		if err != nil {
+			return err
+		}
+		path = strings.TrimSpace(path)
+		skip[path] = append(skip[path], r.Test)
 	}
 	packages, err := output(ctx, "go", "list", "./...")
 	if err != nil {
 		return err
 	}
-	module, err := output(ctx, "go", "list", "-m")
-	if err != nil {
-		return err
-	}
-	plain := slices.DeleteFunc(strings.Fields(packages), func(p string) bool {
-		return skip[strings.TrimPrefix(strings.TrimPrefix(p, strings.TrimSpace(module)), "/")] != nil
-	})
+	plain := slices.DeleteFunc(strings.Fields(packages), func(p string) bool { return skip[p] != nil })
 	ended := t.test(ctx, "", plain...)
-	for folder, tests := range skip {
-		ended = errors.Join(ended, t.test(ctx, regress.SkipPattern(tests), "./"+folder))
+	for path, tests := range skip {
+		ended = errors.Join(ended, t.test(ctx, regress.SkipPattern(tests), path))
 	}
 	printReds(os.Stdout, reds)
 	if ended != nil {
--- a/internal/coordination/history_test.go
+++ b/internal/coordination/history_test.go
@@ -251,19 +251,9 @@
 						}
 					}
 				})
+				begun := time.Now()
 				for _, m := range plan {
-					w.group.Go(func() {
-						time.Sleep(m.At)
-						if m.With != "" {
-							var next chan struct{}
-							w.locked(func() { next = w.steps.next(m.With) })
-							select {
-							case <-next:
-							case <-time.After(3 * time.Second):
-							}
-						}
-						w.befall(m)
-					})
+					w.group.Go(func() { w.bring(m, begun, 3*time.Second) })
 				}
 				for i := range 24 {
 					rng := rand.New(rand.NewPCG(seed, 81+uint64(i)))
--- a/internal/coordination/meetings_table_test.go
+++ b/internal/coordination/meetings_table_test.go
@@ -116,12 +116,7 @@
 		part := w.partOf("green")
 		owner := w.owns(part)
 		w.locked(func() {
-			w.deaf = map[string]bool{}
-			for _, id := range ids {
-				for _, m := range w.runs(id) {
-					w.deaf[m] = true
-				}
-			}
+			w.deaf = w.machinesOf(ids...)
 		})
 		w.kill(owner)
 		heir := w.newOwner(part, owner)
@@ -147,12 +142,7 @@
 		part := w.partOf("green")
 		owner := w.owns(part)
 		w.locked(func() {
-			w.mute = map[string]bool{}
-			for _, id := range ids {
-				for _, m := range w.runs(id) {
-					w.mute[m] = true
-				}
-			}
+			w.mute = w.machinesOf(ids...)
 		})
 		w.kill(owner)
 		heir := w.newOwner(part, owner)
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -194,10 +194,7 @@
 			if n := len(w.runs("job-1")); n != 8 {
 				t.Fatalf("%d tasks run", n)
 			}
-			out := map[string]bool{}
-			for _, m := range w.runs("job-1") {
-				out[m] = true
-			}
+			out := w.machinesOf("job-1")
 			w.cut = func(_, host string) bool { return out[host] }
 			// The shared records come late, so that the successor waits for them after it
 			// has read those of the part.
@@ -430,10 +427,7 @@
 					if on = w.runs("job-1"); len(on) != 4 {
 						t.Fatalf("%d tasks run", len(on))
 					}
-					out := map[string]bool{}
-					for _, m := range on {
-						out[m] = true
-					}
+					out := w.machinesOf("job-1")
 					if tc.cut {
 						w.cut = func(_, host string) bool { return out[host] }
 					}
--- a/internal/coordination/random_meetings_test.go
+++ b/internal/coordination/random_meetings_test.go
@@ -135,6 +135,20 @@
 	w.start(label)
 }
 
+// bring waits for a trouble's moment, lets it happen and ends it.
+func (w *world) bring(m meeting, begun time.Time, patience time.Duration) {
+	time.Sleep(time.Until(begun.Add(m.At)))
+	if m.With != "" {
+		var next chan struct{}
+		w.locked(func() { next = w.steps.next(m.With) })
+		select {
+		case <-next:
+		case <-time.After(patience):
+		}
+	}
+	w.befall(m)
+}
+
 // befall lets a trouble happen and ends it.
 func (w *world) befall(m meeting) {
 	label := fmt.Sprint("n", m.Arg%3)
@@ -331,16 +345,7 @@
 	for _, m := range plan {
 		w.group.Go(func() {
 			defer func() { over <- struct{}{} }()
-			time.Sleep(time.Until(begun.Add(m.At)))
-			if m.With != "" {
-				var next chan struct{}
-				w.locked(func() { next = w.steps.next(m.With) })
-				select {
-				case <-next:
-				case <-time.After(5 * time.Second):
-				}
-			}
-			w.befall(m)
+			w.bring(m, begun, 5*time.Second)
 		})
 	}
 	var ids []string
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -204,6 +204,17 @@
 	return machines
 }
 
+// machinesOf marks the machines that jobs' tasks are on. The lock is held.
+func (w *world) machinesOf(ids ...string) map[string]bool {
+	marked := map[string]bool{}
+	for _, id := range ids {
+		for _, m := range w.runs(id) {
+			marked[m] = true
+		}
+	}
+	return marked
+}
+
 // others are the controllers but one.
 func (w *world) others(label string) (list []string) {
 	w.mu.Lock()
