--- a/cmd/spindleregress/main.go
+++ b/cmd/spindleregress/main.go
@@ -29,6 +29,7 @@
 
 	Run     runCmd     `cmd:"" help:"Play the standard days, then compare."`
 	Night   nightCmd   `cmd:"" help:"Play the project's own hard days: is half of every class and team served?"`
+	Hunt    huntCmd    `cmd:"" help:"Play the project's own days on which two troubles meet, and hunt the sites: does a rule break?"`
 	Compare compareCmd `cmd:"" help:"Compare the latest scores of the journal with those before, without playing anything."`
 }
 
@@ -49,7 +50,7 @@
 
 type runCmd struct {
 	Kit   string        `required:"" type:"path" help:"The kit's folder."`
-	Bench string        `default:"more/fleet/bin/fleetbench" help:"The bench, below the kit."`
+	Bench string        `default:"more/hunt/bin/fleetbench" help:"The bench, below the kit."`
 	Why   string        `required:"" help:"What was changed and what is expected, in a sentence of under 120 characters."`
 	Full  bool          `help:"All standard days, and a hunt on each site; otherwise the two roughest days of each."`
 	Days  int           `default:"4" help:"With --full: how many days each hunt plays."`
--- a/internal/regress/night/night.go
+++ b/internal/regress/night/night.go
@@ -31,7 +31,20 @@
 	Machines float64 `yaml:"machines"`
 	Arrivals float64 `yaml:"arrivals"`
 	RestartS float64 `yaml:"restart_s"`
-	Faults   []Fault `yaml:"faults"`
+	// DurationS is how long jobs come; 0: as the deployment says.
+	DurationS float64 `yaml:"duration_s"`
+	Jobs      []Jobs  `yaml:"jobs"`
+	Faults    []Fault `yaml:"faults"`
+}
+
+// Jobs is how a class's jobs differ on a day.
+type Jobs struct {
+	// Class is urgent or large, as of a fault.
+	Class string `yaml:"class"`
+	// Cancelled is the share that is called off, RunS for how long the median task runs;
+	// 0: as the deployment says.
+	Cancelled float64 `yaml:"cancelled"`
+	RunS      float64 `yaml:"run_s"`
 }
 
 // Fault is one trouble. Which of the fields it needs depends on its kind.
@@ -55,10 +68,19 @@
 	Share   float64 `yaml:"share"`
 	NoticeS float64 `yaml:"notice_s"`
 	EveryS  float64 `yaml:"every_s"`
-	// From is what cut controllers can't reach: state, workers, or everything.
+	// From is what cut controllers can't reach: state, workers, everything but workers and
+	// users, or everything.
 	From string `yaml:"from"`
-	// Mode is what becomes of packets at a cut: hold or reset.
+	// Mode is what becomes of packets at a cut: hold or reset; refuse: it is the state
+	// service that refuses the controllers.
 	Mode string `yaml:"mode"`
+	// AtOnce: of late writes, only the answer is lost. ForNext: the copies of late reports
+	// are kept for the next leader.
+	AtOnce  bool `yaml:"at_once"`
+	ForNext bool `yaml:"for_next"`
+	// Jobs are called off; HangS: some of their machines hang that long.
+	Jobs  int     `yaml:"jobs"`
+	HangS float64 `yaml:"hang_s"`
 }
 
 // kinds are the faults that there are, each with the fields that it needs.
@@ -79,14 +101,27 @@
 	"boot_trouble": {"for_s", "factor"},
 	"machine_sick": {"machines", "for_s"},
 	"spot_rate":    {"for_s", "factor"},
+
+	"late_writes":   {"for_s", "share"},
+	"late_reports":  {"for_s", "share"},
+	"machine_deaf":  {"for_s", "share"},
+	"machine_mute":  {"for_s", "share"},
+	"cancel_now":    {"jobs"},
+	"cancel_at_end": {"for_s", "share"},
+	"odd_requests":  {"for_s"},
+	"close_looks":   {"for_s"},
+	"quick_boots":   {"for_s"},
 }
 
-//go:embed days/*.yaml
+//go:embed days/*.yaml meetings/*.yaml
 var files embed.FS
 
-// Days are the project's own, by name.
-func Days() ([]Day, error) {
-	names, err := fs.Glob(files, "days/*.yaml")
+// Days are the project's own hard days, by name; Meetings those on which two troubles meet.
+func Days() ([]Day, error)     { return daysIn("days") }
+func Meetings() ([]Day, error) { return daysIn("meetings") }
+
+func daysIn(folder string) ([]Day, error) {
+	names, err := fs.Glob(files, folder+"/*.yaml")
 	if err != nil {
 		return nil, err
 	}
@@ -125,6 +160,14 @@
 	if d.Machines < 0.1 || d.Machines > 4 || d.Arrivals < 0.1 || d.Arrivals > 4 || d.RestartS < 0.1 || d.RestartS > 30 {
 		say("machines and arrivals lie between 0.1 and 4 times, restart_s between 0.1 and 30")
 	}
+	if d.DurationS < 0 {
+		say("duration_s must not be below 0")
+	}
+	for i, j := range d.Jobs {
+		if j.Class != "urgent" && j.Class != "large" || j.Cancelled < 0 || j.Cancelled > 1 || j.RunS < 0 {
+			say("jobs %d: class is urgent or large, cancelled lies between 0 and 1, run_s is not below 0", i+1)
+		}
+	}
 	if len(d.Faults) == 0 {
 		say("faults: a day without any is no hard one")
 	}
@@ -146,15 +189,15 @@
 	}
 	has := map[string]bool{"for_s": f.ForS > 0, "class": f.Class == "urgent" || f.Class == "large", "factor": f.Factor > 0,
 		"machines": f.Machines > 0 && f.Machines <= 1, "share": f.Share > 0 && f.Share <= 1, "notice_s": f.NoticeS > 0,
-		"every_s": f.EveryS > 0, "from": slices.Contains([]string{"state", "workers", "everything"}, f.From),
-		"mode": f.Mode == "hold" || f.Mode == "reset"}
+		"every_s": f.EveryS > 0, "from": slices.Contains([]string{"state", "workers", "all-but-workers", "everything"}, f.From),
+		"mode": f.Mode == "hold" || f.Mode == "reset" || f.Mode == "refuse" && f.From == "state", "jobs": f.Jobs > 0}
 	for _, need := range needs {
 		if !has[need] {
 			return fmt.Errorf("%s needs %s", f.Kind, need)
 		}
 	}
-	if f.AtS <= 0 || f.Controllers < 0 {
-		return errors.New("at_s must be above 0, controllers not below")
+	if f.AtS <= 0 || f.Controllers < 0 || f.HangS < 0 {
+		return errors.New("at_s must be above 0, controllers and hang_s not below")
 	}
 	return nil
 }
--- a/internal/regress/night/site.go
+++ b/internal/regress/night/site.go
@@ -178,9 +178,34 @@
 	for i := range d.Faults {
 		faults = append(faults, s.fault(&d.Faults[i]))
 	}
-	return encode(map[string]any{"day": []map[string]any{{"name": d.Name, "slot": "scale", "light": false, "seed": int64(d.Seed), "faults": faults}}})
+	day := map[string]any{"name": d.Name, "slot": "scale", "light": false, "seed": int64(d.Seed), "faults": faults}
+	if d.DurationS > 0 {
+		day["duration_s"] = d.DurationS
+	}
+	var jobs []map[string]any
+	for _, j := range d.Jobs {
+		out := map[string]any{"name": s.pick(j.Class)["name"]}
+		if j.Cancelled > 0 {
+			out["cancelled"] = j.Cancelled
+		}
+		if j.RunS > 0 {
+			out["run_s"] = map[string]any{"median": j.RunS, "p95": j.RunS * runP95, "max": j.RunS * runMax}
+		}
+		jobs = append(jobs, out)
+	}
+	if len(jobs) > 0 {
+		day["jobs"] = jobs
+	}
+	return encode(map[string]any{"day": []map[string]any{day}})
 }
 
+// Of tasks that run for as long as a day says, how much longer than the median the
+// slowest run.
+const (
+	runP95 = 1.25
+	runMax = 1.4
+)
+
 func (s *Site) fault(f *Fault) map[string]any {
 	out := map[string]any{"at_s": f.AtS, "kind": f.Kind}
 	if f.ForS > 0 {
@@ -208,7 +233,28 @@
 			out["from_state"] = true
 		case "workers":
 			out["from_workers"] = true
+		case "all-but-workers":
+			out["from_state"], out["from_peers"] = true, true
+		}
+	case "late_writes":
+		out["share"] = f.Share
+		if f.AtOnce {
+			out["at_once"] = true
+		}
+	case "late_reports":
+		out["share"] = f.Share
+		if f.ForNext {
+			out["for_next"] = true
+		}
+	case "machine_deaf", "machine_mute", "cancel_at_end":
+		out["share"] = f.Share
+	case "cancel_now":
+		out["count"] = int64(f.Jobs)
+		if f.HangS > 0 {
+			out["hang_s"] = f.HangS
 		}
+	case "quick_boots":
+		out["kind"], out["fail"], out["factor"] = "boot_trouble", 0.0, 0.05
 	case "node_roll":
 		out["every_s"] = f.EveryS
 	case "spot_taken":
--- a/internal/regress/night/verdict.go
+++ b/internal/regress/night/verdict.go
@@ -26,6 +26,8 @@
 	Done    Lowest `json:"done"`
 	Told    Lowest `json:"told"`
 	Team    Lowest `json:"team"`
+	// Largest is the lowest share of any class's largest jobs that began within four minutes.
+	Largest Lowest `json:"largest"`
 	// InTime is the lowest share of any class in time, Useful that of the money spent
 	// on useful work: for a look, they decide nothing.
 	InTime Lowest  `json:"in_time"`
@@ -72,6 +74,12 @@
 		Jobs    int `json:"jobs"`
 		Started int `json:"started"`
 	} `json:"teams"`
+	// Largest are the largest jobs of each class; started counts those that began within
+	// the bench's bound.
+	Largest map[string]struct {
+		Jobs    int `json:"jobs"`
+		Started int `json:"started"`
+	} `json:"largest"`
 	Fleet struct {
 		Useful float64 `json:"useful"`
 	} `json:"fleet"`
@@ -110,7 +118,9 @@
 	if *w.Rules.Total > 0 {
 		fail("%d broken rules: %v", *w.Rules.Total, w.Rules.Kinds)
 	}
-	r.Started, r.Done, r.Told, r.Team, r.InTime = Lowest{Share: 2}, Lowest{Share: 2}, Lowest{Share: 2}, Lowest{Share: 2}, Lowest{Share: 2}
+	for _, low := range []*Lowest{&r.Started, &r.Done, &r.Told, &r.Team, &r.Largest, &r.InTime} {
+		*low = Lowest{Share: 2}
+	}
 	for _, name := range slices.Sorted(maps.Keys(w.Classes)) {
 		c := w.Classes[name]
 		jobs := c.Jobs - c.Cancelled
@@ -133,6 +143,12 @@
 			fail("team %s: %d of %d jobs started, under half", name, t.Started, t.Jobs)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(w.Largest)) {
+		l := w.Largest[name]
+		if share := r.Largest.take(name, l.Started, l.Jobs); share < Half {
+			fail("%s: %d of its %d largest jobs began in time, under half", name, l.Started, l.Jobs)
+		}
+	}
 	budget := s.all["nodes"].(map[string]any)
 	crashes := map[string][]float64{}
 	for _, n := range w.Nodes {
@@ -243,9 +259,9 @@
 		if len(r.Failed) > 0 {
 			verdict = "NO: " + strings.Join(r.Failed, "; ")
 		}
-		fmt.Fprintf(&text, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%d\t%.0f\t%s\n", r.Site, r.Day, low(r.Started), low(r.Done), low(r.Told),
-			low(r.Team), low(r.InTime), r.Useful, r.Sockets, r.Processor, r.OwnerlessS, r.LateS, r.Refusals, r.TookS, verdict)
+		fmt.Fprintf(&text, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%d\t%.0f\t%s\n", r.Site, r.Day, low(r.Started), low(r.Done), low(r.Told),
+			low(r.Team), low(r.Largest), low(r.InTime), r.Useful, r.Sockets, r.Processor, r.OwnerlessS, r.LateS, r.Refusals, r.TookS, verdict)
 	}
-	_, err := fmt.Fprint(out, "SITE\tDAY\tSTARTED\tDONE\tTOLD\tTEAM\tIN TIME\tUSEFUL\tSOCKETS\tCPU\tOWNERLESS S\tLATE S\tREFUSED\tTOOK S\tVERDICT\n", text.String())
+	_, err := fmt.Fprint(out, "SITE\tDAY\tSTARTED\tDONE\tTOLD\tTEAM\tLARGEST\tIN TIME\tUSEFUL\tSOCKETS\tCPU\tOWNERLESS S\tLATE S\tREFUSED\tTOOK S\tVERDICT\n", text.String())
 	return err
 }
