Renewed certificates are told by what the files hold, not by their times

Cause: a keyring saw that its files had changed by their times and sizes. Two renewals within a beat of the file system's clock (a few milliseconds) look the same, so that the second was never read. TestCertificatesRotateUnderOpenConnections failed for it once, in a run of all packages beside each other on a busy machine. Change: the stamp is a hash of the contents. Measured: TestRenewalsWithinABeatOfTheClockAreSeen gives two contents the same time and size; it fails with the former stamp.

--- a/internal/identity/keyring.go
+++ b/internal/identity/keyring.go
@@ -1,7 +1,6 @@
 package identity
 
 import (
-	"bytes"
 	"context"
 	"crypto"
 	"crypto/ed25519"
@@ -150,15 +149,16 @@
 	return hex.EncodeToString(sum[:16])
 }
 
-// stampFiles changes when a file does.
+// stampFiles changes when a file does. It is of what the files hold: a file that is
+// renewed twice within a beat of the file system's clock keeps its time, and often its size.
 func (k *Keyring) stampFiles() string {
-	var b bytes.Buffer
+	hash := sha256.New()
 	for _, path := range []string{k.files.Own, k.files.Roots, k.files.TokenKeys} {
-		if info, err := os.Stat(path); err == nil {
-			fmt.Fprintf(&b, "%s %d %d;", path, info.Size(), info.ModTime().UnixNano())
-		}
+		data, err := os.ReadFile(path)
+		fmt.Fprintf(hash, "%s %v %d;", path, err == nil, len(data))
+		hash.Write(data)
 	}
-	return b.String()
+	return string(hash.Sum(nil))
 }
 
 const (
--- a/internal/identity/keyring_test.go
+++ b/internal/identity/keyring_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"crypto/x509"
 	"log/slog"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -36,3 +38,24 @@
 		t.Errorf("%d warnings of the last day, want 2", n)
 	}
 }
+
+// A file that is renewed twice within a beat of the file system's clock keeps its time and
+// perhaps its size; the second renewal is seen all the same.
+func TestRenewalsWithinABeatOfTheClockAreSeen(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "own.pem")
+	at := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	k := &Keyring{files: Files{Own: path}}
+	stamps := map[string]bool{}
+	for _, text := range []string{"first", "other"} {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(path, at, at); err != nil {
+			t.Fatal(err)
+		}
+		stamps[k.stampFiles()] = true
+	}
+	if len(stamps) != 2 || !stamps[k.stampFiles()] {
+		t.Errorf("%d stamps of two contents", len(stamps))
+	}
+}
