Submissions that lack a field, or can never run together, are refused

Found by a table over every field of a submission, each missing, null, of a wrong type and out of range, at every controller: a submission without bundle, gpus, image_gb, guess_s, snapshot_every_s, snapshot_s, same_place, apart or loaners was accepted (201), though PROTOCOL allows only what may be null to be left out. Gangs and services that ask to be apart and in one zone were accepted though they can never run. Change: only shapes_of_box, locale, due_s and waits_on may be null or left out (400 else); a gang or service that can't be apart in its one zone gets 422. Known ids are still looked up first, so that a repeat of an accepted job gets its state whatever its body says.

--- /dev/null
+++ b/internal/coordination/odd_requests_test.go
@@ -0,0 +1,244 @@
+package coordination
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/transport"
+)
+
+// fields is a submission as a map, for spoiling.
+func fields(s *protocol.JobSpec) map[string]any {
+	var m map[string]any
+	must(msgpack.Unmarshal(submission(s), &m))
+	return m
+}
+
+func encoded(m map[string]any) []byte {
+	b, err := msgpack.Marshal(m)
+	must(err)
+	return b
+}
+
+// oddSubmissions are submissions of one id that must not be accepted, with the answer that
+// each gets from a controller that knows the machine types.
+func oddSubmissions(id string) map[string]struct {
+	body []byte
+	want int
+} {
+	odd := map[string]struct {
+		body []byte
+		want int
+	}{}
+	add := func(name string, want int, change func(s *protocol.JobSpec, m map[string]any)) {
+		s := spec(id, 2, "red")
+		change(s, nil)
+		m := fields(s)
+		change(s, m)
+		odd[name] = struct {
+			body []byte
+			want int
+		}{encoded(m), want}
+	}
+	spoil := func(name, field string, value any) {
+		add(name+" "+field, 400, func(_ *protocol.JobSpec, m map[string]any) {
+			if m != nil {
+				m[field] = value
+			}
+		})
+	}
+	nullable := []string{"shapes_of_box", "locale", "due_s"}
+	amounts := []string{"vcpus", "gpus", "mem_gb", "image_gb", "guess_s", "snapshot_every_s", "snapshot_s"}
+	for field := range fields(spec(id, 2, "red")) {
+		if !slices.Contains(nullable, field) {
+			spoil("null", field, nil)
+			add("without "+field, 400, func(_ *protocol.JobSpec, m map[string]any) { delete(m, field) })
+		}
+		spoil("a map for", field, map[string]any{"x": 1})
+		spoil("bytes for", field, []byte{1, 2})
+		if slices.Contains(amounts, field) || field == "due_s" || field == "pieces" {
+			spoil("text for", field, "4")
+			spoil("negative", field, -1.0)
+		} else {
+			spoil("a number for", field, 7)
+		}
+		if slices.Contains(amounts, field) || field == "due_s" {
+			spoil("infinite", field, math.Inf(1))
+			spoil("no number for", field, math.NaN())
+			spoil("absurd", field, 1e30)
+		}
+	}
+	spoil("no", "pieces", 0)
+	spoil("too many", "pieces", 100_001)
+	spoil("unknown", "shape", "round")
+	spoil("unknown", "urgency", "asap")
+	spoil("empty", "jobclass", "")
+	spoil("empty", "owner", "")
+	spoil("numbers in", "shapes_of_box", []int{1})
+	spoil("nothing in", "waits_on", []any{nil})
+	can := func(name string, change func(s *protocol.JobSpec)) {
+		add(name, 422, func(s *protocol.JobSpec, m map[string]any) {
+			if m == nil {
+				change(s)
+			}
+		})
+	}
+	can("unknown team", func(s *protocol.JobSpec) { s.Team = "nobody" })
+	can("larger than any type", func(s *protocol.JobSpec) { s.Team, s.CPUs = "green", 33 })
+	can("more memory than any type", func(s *protocol.JobSpec) { s.Team, s.MemGB = "green", 129 })
+	can("a device that no type has", func(s *protocol.JobSpec) { s.Team, s.GPUs = "green", 1 })
+	can("larger than the allowed type", func(s *protocol.JobSpec) { s.CPUs, s.Types = 9, []string{"small"} })
+	can("unknown type", func(s *protocol.JobSpec) { s.Types = []string{"huge"} })
+	can("unknown zone", func(s *protocol.JobSpec) { s.Zone = "z" })
+	can("type not in the zone", func(s *protocol.JobSpec) { s.Types, s.Zone = []string{"big"}, "b" })
+	can("one task over the limit", func(s *protocol.JobSpec) { s.Team, s.CPUs = "red", 32.5 })
+	can("a service over the limit", func(s *protocol.JobSpec) { s.Standing, s.Tasks = true, 9 })
+	can("a gang over the limit", func(s *protocol.JobSpec) { s.Gang, s.Tasks = true, 9 })
+	can("a gang apart in one zone", func(s *protocol.JobSpec) { s.Gang, s.OneZone, s.Spread = true, true, true })
+	can("a service apart in a named zone", func(s *protocol.JobSpec) { s.Standing, s.Zone, s.Spread = true, "a", true })
+	return odd
+}
+
+// What can't run or is no submission is accepted by no controller, also while one of them
+// does not know the machine types yet or is cut off; of a job that is known, its state is
+// told whatever the body says (14).
+func TestOddSubmissions(t *testing.T) {
+	simulate(t, 620, func(w *world) {
+		time.Sleep(2 * time.Second)
+		w.submit(spec("job-1", 1, "green"))
+		// A controller that starts while the cloud does not answer knows no types, if they
+		// were not on record.
+		w.locked(func() {
+			delete(w.state.Items, bookkeeping.CatalogKey)
+			w.cut = func(from, host string) bool { return from == "n2" && host == "cloud" }
+		})
+		w.kill("n2")
+		w.start("n2")
+		time.Sleep(3 * time.Second)
+		types := -1
+		w.in("n2", func(c *Controller) { types = len(c.catalog) })
+		if types != 0 {
+			t.Fatalf("n2 knows %d machine types", types)
+		}
+		check := func(name, label string, body []byte, want ...int) {
+			if resp := w.ask(label, "POST", "/submissions", body); !slices.Contains(want, resp.Status) {
+				t.Errorf("%s at %s: %d, want %v", name, label, resp.Status, want)
+			}
+		}
+		odd, known := oddSubmissions("job-2"), oddSubmissions("job-1")
+		for _, name := range slices.Sorted(maps.Keys(odd)) {
+			o := odd[name]
+			check(name, "n0", o.body, o.want)
+			check(name, "n1", o.body, o.want)
+			// Without the types it can't say 422 for what fits none.
+			check(name, "n2", o.body, o.want, 503)
+			if o.want == 400 {
+				check(name, "n2", o.body, 400)
+			}
+			if id := protocol.SubmissionID(known[name].body); id != "" {
+				for _, label := range []string{"n0", "n1", "n2"} {
+					check(name+" of a known job", label, known[name].body, 200)
+				}
+			}
+		}
+		// Nor while a controller is cut from the state service and the others.
+		w.locked(func() {
+			w.cut = func(from, host string) bool { return from == "n1" && (host == "state" || len(host) == 2) }
+		})
+		for _, name := range []string{"without gpus", "larger than any type", "unknown team"} {
+			resp := w.ask("n1", "POST", "/submissions", odd[name].body)
+			if resp.Status == 200 || resp.Status == 201 {
+				t.Errorf("%s at a controller that is cut off: %d", name, resp.Status)
+			}
+		}
+		// A known job's repeat must not be refused there either.
+		body := known["without gpus"].body
+		if resp := w.ask("n1", "POST", "/submissions", body); resp.Status == 400 || resp.Status == 422 || resp.Status == 404 {
+			t.Errorf("repeat of a known job at a controller that is cut off: %d", resp.Status)
+		}
+		w.locked(func() { w.cut = nil })
+		time.Sleep(5 * time.Second)
+		for _, label := range []string{"n0", "n1", "n2"} {
+			if resp := w.ask(label, "GET", "/submissions/job-2", nil); resp.Status != 404 {
+				t.Errorf("the odd job is known at %s: %d", label, resp.Status)
+			}
+		}
+		w.finish(time.Minute)
+	})
+}
+
+// Users repeat submissions of unfinished jobs, cancel those that are done and send what
+// can't run, at all controllers, while the leader ends and the state service answers late.
+func TestOddRequestsMeetTroubles(t *testing.T) {
+	simulate(t, 621, func(w *world) {
+		time.Sleep(2 * time.Second)
+		odd := oddSubmissions("job-7")
+		names := slices.Sorted(maps.Keys(odd))
+		part := w.partOf("green")
+		s := spec("job-1", 12, "green")
+		s.DeadlineS = 0
+		w.submit(s)
+		done := spec("job-3", 1, "green")
+		w.submit(done)
+		for range 60 {
+			if time.Sleep(time.Second); w.poll("", done.ID) == protocol.StatusDone {
+				break
+			}
+		}
+		outcomes := map[string]int{}
+		for i := range 120 {
+			label := []string{"n0", "n1", "n2"}[i%3]
+			o := odd[names[i%len(names)]]
+			switch i {
+			case 20:
+				owner := w.owns(part)
+				w.group.Go(func() { w.crash(owner, time.Second) })
+			case 40:
+				w.locked(func() { w.lateWrites = 0.5 })
+			case 60:
+				w.locked(func() { w.lateWrites = 0 })
+				w.outage(true)
+			case 80:
+				w.outage(false)
+			}
+			for what, resp := range map[string]transport.Response{
+				"odd":    w.ask(label, "POST", "/submissions", o.body),
+				"repeat": w.ask(label, "POST", "/submissions", submission(s)),
+			} {
+				if resp.Status == 0 {
+					continue
+				}
+				accepted := resp.Status == 200 || resp.Status == 201
+				if what == "odd" && accepted {
+					t.Errorf("%s accepted at %s: %d", names[i%len(names)], label, resp.Status)
+				}
+				if what == "repeat" && (resp.Status == 400 || resp.Status == 422 || resp.Status == 404) {
+					t.Errorf("repeat at %s: %d", label, resp.Status)
+				}
+				if outcomes[what+" refused"]++; accepted {
+					outcomes[what+" accepted"]++
+				}
+			}
+			if resp := w.ask(label, "POST", "/submissions/"+done.ID+"/withdraw", nil); resp.Status == 200 {
+				var st protocol.JobStatus
+				must(protocol.Decode(resp.Body, &st))
+				if st.Status != protocol.StatusDone {
+					t.Errorf("a done job is told %s", st.Status)
+				}
+				outcomes["cancelled though done"]++
+			}
+			time.Sleep(150 * time.Millisecond)
+		}
+		if outcomes["repeat accepted"] < 20 || outcomes["odd refused"] < 60 || outcomes["cancelled though done"] < 60 {
+			t.Errorf("asked too little: %v", outcomes)
+		}
+		w.finish(2 * time.Minute)
+	})
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -368,6 +368,9 @@
 	if t.CPUsMax > 0 && n*s.CPUs > t.CPUsMax+fit.Epsilon || t.GPUsMax > 0 && n*s.GPUs > t.GPUsMax+fit.Epsilon {
 		return "more than the team's limit"
 	}
+	if (s.Standing || s.Gang) && s.Tasks > 1 && s.Spread && (s.OneZone || s.Zone != "") {
+		return "its tasks can't run together in one zone and be apart"
+	}
 	if len(c.catalog) == 0 {
 		return ""
 	}
--- a/internal/protocol/wire.go
+++ b/internal/protocol/wire.go
@@ -121,44 +121,19 @@
 	return true
 }
 
-// Check turns a submission into a job, or says in one line what is wrong.
+// Check turns a submission into a job, or says in one line what is wrong. Only what may be
+// null may be left out.
 func (s *Submission) Check() (*JobSpec, error) {
-	text := func(name string, p *string, optional bool) (string, error) {
-		switch {
-		case p == nil && optional:
-			return "", nil
-		case p == nil:
-			return "", fmt.Errorf("%w: %s is missing", ErrMalformed, name)
-		case len(*p) > maxText || *p == "" && !optional:
-			return "", fmt.Errorf("%w: %s is invalid", ErrMalformed, name)
-		}
-		return *p, nil
-	}
-	amount := func(name string, p *float64, optional bool) (float64, error) {
-		switch {
-		case p == nil && optional:
-			return 0, nil
-		case p == nil:
-			return 0, fmt.Errorf("%w: %s is missing", ErrMalformed, name)
-		case !finite(*p) || *p < 0 || *p > maxAmount:
-			return 0, fmt.Errorf("%w: %s is out of range", ErrMalformed, name)
-		}
-		return *p, nil
-	}
-	flag := func(p *bool) bool { return p != nil && *p }
-
 	var j JobSpec
-	var err error
 	for _, f := range []struct {
 		name     string
-		from     *string
-		to       *string
-		optional bool
+		from, to *string
+		rule     presence
 	}{
-		{"name_id", s.ID, &j.ID, false}, {"jobclass", s.Class, &j.Class, false}, {"owner", s.Team, &j.Team, false},
-		{"bundle", s.Image, &j.Image, true}, {"locale", s.Zone, &j.Zone, true},
+		{"name_id", s.ID, &j.ID, filled}, {"jobclass", s.Class, &j.Class, filled}, {"owner", s.Team, &j.Team, filled},
+		{"bundle", s.Image, &j.Image, present}, {"locale", s.Zone, &j.Zone, nullable},
 	} {
-		if *f.to, err = text(f.name, f.from, f.optional); err != nil {
+		if err := checkText(f.name, f.from, f.to, f.rule); err != nil {
 			return nil, err
 		}
 	}
@@ -167,22 +142,32 @@
 	}
 	for _, f := range []struct {
 		name     string
-		from     *float64
-		to       *float64
-		optional bool
+		from, to *float64
+		rule     presence
 	}{
-		{"vcpus", s.CPUs, &j.CPUs, false}, {"gpus", s.GPUs, &j.GPUs, true}, {"mem_gb", s.MemGB, &j.MemGB, false},
-		{"image_gb", s.ImageGB, &j.ImageGB, true}, {"guess_s", s.EstimateS, &j.EstimateS, true},
-		{"snapshot_every_s", s.CheckpointS, &j.CheckpointS, true}, {"snapshot_s", s.SaveS, &j.SaveS, true},
-		{"due_s", s.DeadlineS, &j.DeadlineS, true},
+		{"vcpus", s.CPUs, &j.CPUs, present}, {"gpus", s.GPUs, &j.GPUs, present}, {"mem_gb", s.MemGB, &j.MemGB, present},
+		{"image_gb", s.ImageGB, &j.ImageGB, present}, {"guess_s", s.EstimateS, &j.EstimateS, present},
+		{"snapshot_every_s", s.CheckpointS, &j.CheckpointS, present}, {"snapshot_s", s.SaveS, &j.SaveS, present},
+		{"due_s", s.DeadlineS, &j.DeadlineS, nullable},
 	} {
-		if *f.to, err = amount(f.name, f.from, f.optional); err != nil {
+		if err := checkAmount(f.name, f.from, f.to, f.rule); err != nil {
 			return nil, err
 		}
 	}
+	for _, f := range []struct {
+		name     string
+		from, to *bool
+	}{
+		{"same_place", s.OneZone, &j.OneZone}, {"apart", s.Spread, &j.Spread}, {"loaners", s.Spot, &j.Spot},
+	} {
+		if f.from == nil {
+			return nil, missing(f.name)
+		}
+		*f.to = *f.from
+	}
 	switch {
 	case s.Shape == nil:
-		return nil, fmt.Errorf("%w: shape is missing", ErrMalformed)
+		return nil, missing("shape")
 	case *s.Shape == "standing":
 		j.Standing = true
 	case *s.Shape == "gang":
@@ -191,7 +176,7 @@
 		return nil, fmt.Errorf("%w: shape is invalid", ErrMalformed)
 	}
 	if s.Urgency == nil {
-		return nil, fmt.Errorf("%w: urgency is missing", ErrMalformed)
+		return nil, missing("urgency")
 	}
 	var ok bool
 	if j.Urgency, ok = urgencies[*s.Urgency]; !ok {
@@ -199,7 +184,7 @@
 	}
 	switch {
 	case s.Tasks == nil:
-		return nil, fmt.Errorf("%w: pieces is missing", ErrMalformed)
+		return nil, missing("pieces")
 	case *s.Tasks < 1 || *s.Tasks > maxTasks:
 		return nil, fmt.Errorf("%w: pieces is out of range", ErrMalformed)
 	}
@@ -223,10 +208,46 @@
 			j.Dependencies = append(j.Dependencies, *d)
 		}
 	}
-	j.OneZone, j.Spread, j.Spot = flag(s.OneZone), flag(s.Spread), flag(s.Spot)
 	return &j, nil
 }
 
+// presence says what a field of a submission must hold.
+type presence int
+
+const (
+	nullable presence = iota // it may be null or left out
+	present                  // it must be there
+	filled                   // and not be empty
+)
+
+func missing(name string) error { return fmt.Errorf("%w: %s is missing", ErrMalformed, name) }
+
+func checkText(name string, from, to *string, rule presence) error {
+	switch {
+	case from == nil && rule == nullable:
+		return nil
+	case from == nil:
+		return missing(name)
+	case len(*from) > maxText || *from == "" && rule == filled:
+		return fmt.Errorf("%w: %s is invalid", ErrMalformed, name)
+	}
+	*to = *from
+	return nil
+}
+
+func checkAmount(name string, from, to *float64, rule presence) error {
+	switch {
+	case from == nil && rule == nullable:
+		return nil
+	case from == nil:
+		return missing(name)
+	case !finite(*from) || *from < 0 || *from > maxAmount:
+		return fmt.Errorf("%w: %s is out of range", ErrMalformed, name)
+	}
+	*to = *from
+	return nil
+}
+
 // JobStatus is what users are told about a job.
 type JobStatus struct {
 	ID      string `msgpack:"name_id"`
