Late starts of cancelled jobs are kept out at once; commands held up do not block others

Cause, shown by tests in a world that now holds direct commands up (2 to 16 s, unanswered, carried out once): a start that was under way as its job was cancelled was waited for, 2.5 s for its answer and up to a beat more, before the machine's token was raised; what came in between started after its user had been told of the cancellation, 0.9 to 2.3 s after. The fencing order that tells the token waited for the same answer, and so did stops. Cancelled: when a start went unanswered for 0.5 s; else as before. Raises that are due go ahead of starts, in at most half of a transaction; a reap waits up to 5 s for one. Orders no longer exclude each other where a cancelled task is concerned. Of answers only 400 and 409 prove that a command is not carried out. Tests: late commands in the world, their meetings with takeovers, hangs, outages, carriers, mute machines, old owners before and after the first fencing, processes that stand still; ends of jobs at each step of their commit; hangs around the lease and the deletion; slow links; zones without room. At the end of every test the world ends all troubles and checks that each accepted job is answered for within 75 s and none waits 90 s while a machine has room; a job's end is never written twice. Random meetings draw the new troubles, up to four at a time, and one of four grounds has a controller of an older version.

--- a/internal/coordination/bench_test.go
+++ b/internal/coordination/bench_test.go
@@ -229,7 +229,7 @@
 					}
 				}
 				for _, m := range c.machines {
-					m.sending = true // nothing is sent here
+					m.pendingOrders = 1 // nothing is sent here
 				}
 				b.ReportAllocs()
 				for b.Loop() {
--- a/internal/coordination/claims.go
+++ b/internal/coordination/claims.go
@@ -234,7 +234,7 @@
 	if len(m.attempts) > 0 || len(m.foreign) > 0 {
 		m.attempts, m.foreign = map[string]*attempt{}, map[string]protocol.TaskReport{}
 	}
-	m.fenced, m.lost, m.moving, m.heard, m.wantBump = false, false, false, false, false
+	m.fenced, m.lost, m.moving, m.heard, m.raiseBy = false, false, false, false, time.Time{}
 	m.retiring, m.keptFor, m.noted = time.Time{}, floor.None, 0
 	m.resources()
 }
--- /dev/null
+++ b/internal/coordination/command_meetings_test.go
@@ -0,0 +1,443 @@
+package coordination
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/settings"
+	"micaspindle/internal/standin/worker"
+	"micaspindle/internal/transport"
+)
+
+// keptOrder is an order that a controller sent and that has not come yet.
+type keptOrder struct {
+	machine string
+	body    []byte
+}
+
+// keepOrders keeps every order with commands that a controller sends itself from now on.
+func (w *world) keepOrders(from string) (kept *[]keptOrder) {
+	kept = new([]keptOrder)
+	w.locked(func() {
+		w.asked = func(sender, host, target string, body []byte) bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if sender != from || target != "/orders" || w.workers[host] == nil || verbsOf(body)[fenceVerb] {
+				return false
+			}
+			*kept = append(*kept, keptOrder{host, body})
+			return true
+		}
+	})
+	return kept
+}
+
+// bringOrders brings kept orders to their workers.
+func (w *world) bringOrders(orders []keptOrder) (done, refused map[string]int) {
+	done, refused = map[string]int{}, map[string]int{}
+	for _, k := range orders {
+		var wk *worker.Worker
+		w.locked(func() { wk = w.workers[k.machine] })
+		if wk == nil {
+			continue
+		}
+		resp := w.serveWorker(wk, "/orders", k.body)
+		for verb := range verbsOf(k.body) {
+			if resp != nil && resp.Status == 200 {
+				done[verb]++
+			} else {
+				refused[verb]++
+			}
+		}
+	}
+	return done, refused
+}
+
+// everySecond are the orders at even or odd places, so that both have all kinds.
+func everySecond(orders []keptOrder, from int) (list []keptOrder) {
+	for i := from; i < len(orders); i += 2 {
+		list = append(list, orders[i])
+	}
+	return list
+}
+
+// startsAndMore says whether orders hold starts and stops or reaps.
+func startsAndMore(orders []keptOrder) bool {
+	verbs := map[string]bool{}
+	for _, k := range orders {
+		maps.Copy(verbs, verbsOf(k.body))
+	}
+	return verbs[protocol.OpStart] && (verbs[protocol.OpStop] || verbs[protocol.OpForget])
+}
+
+// commandsOfAllKinds has an owner send starts, stops and reaps: jobs end, one is called off
+// and another is submitted.
+func (w *world) commandsOfAllKinds(owner, cancelled string) error {
+	for i := range 4 {
+		s := spec(fmt.Sprintf("job-8%d", i), 4, "green")
+		s.DeadlineS, s.CPUs = 0, 2
+		w.submit(s)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if !w.withdrawAt(w.others(owner)[0], cancelled) {
+		return fmt.Errorf("%s is not cancelled", cancelled)
+	}
+	return nil
+}
+
+// oldOrders plays an owner whose commands come after another has begun: some before its
+// first fencing orders, some after.
+func oldOrders(replace func(w *world, part int, owner string) (heir string)) func(w *world) error {
+	return func(w *world) error {
+		w.longJobs(3, 4, "green", 9*time.Second)
+		part := w.partOf("green")
+		owner := w.owns(part)
+		kept := w.keepOrders(owner)
+		time.Sleep(2500 * time.Millisecond)
+		if err := w.commandsOfAllKinds(owner, "job-101"); err != nil {
+			return err
+		}
+		var sent []keptOrder
+		for range 150 {
+			time.Sleep(100 * time.Millisecond)
+			w.locked(func() { sent = slices.Clone(*kept) })
+			if startsAndMore(everySecond(sent, 0)) && startsAndMore(everySecond(sent, 1)) {
+				break
+			}
+		}
+		fencing := make(chan struct{})
+		w.locked(func() {
+			w.asked = func(_, host, target string, body []byte) bool {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if target == "/orders" && w.workers[host] != nil && verbsOf(body)[fenceVerb] && fencing != nil {
+					close(fencing)
+					fencing = nil
+				}
+				return false
+			}
+		})
+		before := fencing
+		type outcome struct{ done, refused map[string]int }
+		brought := make(chan outcome, 1)
+		w.group.Go(func() {
+			<-before
+			done, refused := w.bringOrders(everySecond(sent, 0))
+			brought <- outcome{done, refused}
+		})
+		heir := replace(w, part, owner)
+		early := <-brought
+		time.Sleep(3 * time.Second)
+		_, refused := w.bringOrders(everySecond(sent, 1))
+		for _, l := range []string{"n0", "n1", "n2"} {
+			w.mu.Lock()
+			away := w.nodes[l] == nil
+			w.mu.Unlock()
+			if away {
+				w.start(l)
+			}
+		}
+		w.locked(func() { w.asked = nil })
+		came := map[string]int{}
+		maps.Copy(came, early.refused)
+		maps.Copy(came, early.done)
+		if len(came) < 2 || len(early.done) == 0 || refused[protocol.OpStart] == 0 || refused[protocol.OpStop]+refused[protocol.OpForget] == 0 || heir == "" {
+			return fmt.Errorf("of %d orders came before the first fencing %v, refused after it %v, new owner %q", len(sent), early, refused, heir)
+		}
+		return nil
+	}
+}
+
+// shares of the write budget.
+const raisedMost = 0.5
+
+var commandMeetings = []meetingTest{
+	{name: "an old owner's starts, stops and reaps come before and after the new one's first fencing",
+		play: oldOrders(func(w *world, part int, owner string) string {
+			w.kill(owner)
+			return w.newOwner(part, owner)
+		})},
+	{name: "those of a process that restarted as successor of itself",
+		play: oldOrders(func(w *world, part int, owner string) string {
+			for _, l := range w.others(owner) {
+				w.kill(l)
+			}
+			w.kill(owner)
+			time.Sleep(300 * time.Millisecond)
+			w.start(owner)
+			return w.newOwner(part, "")
+		})},
+	{name: "a process stands still between the record of a start and its sending, and the job is cancelled", play: func(w *world) error {
+		w.longJobs(2, 4, "green", 12*time.Second)
+		part := w.partOf("green")
+		owner := w.owns(part)
+		time.Sleep(12 * time.Second)
+		recorded := make(chan string, 1)
+		w.locked(func() {
+			w.answered = func(from, host, target string, body []byte, resp *transport.Response) bool {
+				if from != owner || host != "state" || target != "/commit" || resp.Status != 200 {
+					return false
+				}
+				var txn protocol.Transaction
+				must(protocol.Decode(body, &txn))
+				for _, change := range txn.Then {
+					var run bookkeeping.Run
+					if stepOf(change.Put) != "run" || bookkeeping.Decode(change.Value, &run) != nil || len(run.Live) == 0 {
+						continue
+					}
+					select {
+					case recorded <- strings.Split(change.Put, "/")[2]:
+						w.hold(owner, 14*time.Second)
+						w.awaitHeld(owner)
+					default:
+					}
+					break
+				}
+				return false
+			}
+		})
+		s := spec("job-900", 3, "green")
+		s.DeadlineS = 0
+		w.submit(s)
+		<-recorded
+		heir := w.newOwner(part, owner)
+		if !w.withdrawAt(heir, s.ID) {
+			return fmt.Errorf("not cancelled")
+		}
+		time.Sleep(14 * time.Second)
+		w.locked(func() { w.answered = nil })
+		started := 0
+		w.locked(func() {
+			for _, start := range w.afterCancel {
+				w.t.Errorf("%s started %s after its cancellation", start.task, start.after)
+				started++
+			}
+		})
+		if heir == owner {
+			return fmt.Errorf("%s took its own part over", heir)
+		}
+		return nil
+	}},
+	{name: "commands are carried out at once and only their answers lost, while jobs are cancelled and the owner ends", play: func(w *world) error {
+		w.longJobs(3, 4, "green", 9*time.Second)
+		part := w.partOf("green")
+		w.locked(func() { w.lateCommands = &lateCommands{share: 0.7, atOnce: true} })
+		met := func() (starts, stops, reaps int) {
+			return w.metTimes("late start done"), w.metTimes("late stop done"), w.metTimes("late reap done")
+		}
+		for i := range 60 {
+			if starts, stops, reaps := met(); i >= 20 && starts >= 5 && stops >= 2 && reaps >= 3 {
+				break
+			}
+			s := spec(fmt.Sprintf("job-%d", i), 2+i%3, "green")
+			s.DeadlineS, s.CPUs = 0, 2
+			w.submit(s)
+			if i%4 == 3 {
+				w.group.Go(func() {
+					time.Sleep(4 * time.Second)
+					w.insist(s.ID, i)
+				})
+			}
+			time.Sleep(700 * time.Millisecond)
+		}
+		owner := w.owns(part)
+		w.kill(owner)
+		w.newOwner(part, owner)
+		w.start(owner)
+		time.Sleep(8 * time.Second)
+		if starts, stops, reaps := met(); starts < 5 || stops < 2 || reaps < 3 {
+			return fmt.Errorf("answers lost of %d starts, %d stops, %d reaps", starts, stops, reaps)
+		}
+		return nil
+	}},
+	{name: "half of the commands are held up for a minute while jobs are cancelled, preempted and drained", prepare: func(w *world) {
+		w.cloud.Capacity = 40
+		w.set.Params.Teams = []settings.Team{{Name: "red", CPUs: 60, CPUsMax: 80}, {Name: "blue", CPUs: 60, CPUsMax: 200}, {Name: "green"}}
+	}, play: heldUpFleet, over: 5 * time.Minute},
+	{name: "more work than room, urgent and not, over slow links", play: func(w *world) error {
+		w.locked(func() { w.slowLinks = 900 * time.Millisecond })
+		part := w.partOf("green")
+		waited := 0
+		for i := range 40 {
+			s := spec(fmt.Sprintf("job-%d", i), 4, "green")
+			s.Urgency, s.DeadlineS = protocol.Urgency(i%4), 0
+			w.group.Go(func() { w.offer(s, i) })
+			w.locked(func() { w.jobs[s.ID] = &userJob{spec: s, tasksDone: map[int]bool{}} })
+			if i%5 == 4 {
+				w.group.Go(func() {
+					time.Sleep(6 * time.Second)
+					w.insist(s.ID, i)
+				})
+			}
+			if i == 25 {
+				owner := w.owns(part)
+				w.group.Go(func() { w.crash(owner, time.Second) })
+			}
+			time.Sleep(700 * time.Millisecond)
+			w.in(w.owns(part), func(c *Controller) {
+				queued := 0
+				for _, j := range c.jobs {
+					queued += len(j.queue)
+				}
+				waited = max(waited, queued)
+			})
+		}
+		time.Sleep(20 * time.Second)
+		w.locked(func() { w.slowLinks = 0 })
+		if waited < 20 {
+			return fmt.Errorf("at most %d tasks waited", waited)
+		}
+		return nil
+	}, over: 5 * time.Minute},
+	{name: "jobs bound to a zone lose machines where it has no room, and the leader ends", prepare: func(w *world) {
+		w.cloud.Types[1].ZonesOffered = []string{"a"}
+	}, play: func(w *world) error {
+		w.locked(func() { w.runTime = func(string, int, string) time.Duration { return 25 * time.Second } })
+		part := w.partOf("green")
+		bound := []string{"job-0", "job-1", "job-2"}
+		for i := range 9 {
+			s := spec(fmt.Sprintf("job-%d", i), 6, "green")
+			s.CPUs, s.DeadlineS = 4, 0
+			switch i % 3 {
+			case 0:
+				s.Zone = "b"
+			case 1:
+				s.OneZone = true
+			case 2:
+				s.Spread = true
+			}
+			w.submit(s)
+		}
+		hit, full := 0, false
+		for range 160 {
+			time.Sleep(250 * time.Millisecond)
+			hit = 0
+			w.locked(func() {
+				full = len(w.cloud.Machines) >= w.cloud.Capacity
+				for _, id := range bound {
+					if len(w.machinesOf(id)) > 0 && len(w.jobs[id].tasksDone) < 6 {
+						hit++
+					}
+				}
+			})
+			if hit == len(bound) && full {
+				break
+			}
+		}
+		w.locked(func() {
+			for m := range w.machinesOf(bound...) {
+				w.workers[m].Off()
+				delete(w.workers, m)
+			}
+		})
+		owner := w.owns(part)
+		w.kill(owner)
+		w.newOwner(part, owner)
+		w.start(owner)
+		if hit < len(bound) || !full {
+			return fmt.Errorf("%d of %d kinds of jobs lost machines, no room left %v", hit, len(bound), full)
+		}
+		return nil
+	}, over: 6 * time.Minute},
+}
+
+// heldUpFleet holds half of the direct commands up for a minute.
+func heldUpFleet(w *world) error {
+	w.locked(func() {
+		w.runTime = func(job string, task int, _ string) time.Duration {
+			return time.Duration(4+(len(job)+task*5)%16) * time.Second
+		}
+	})
+	time.Sleep(2 * time.Second)
+	raised := map[int]int{} // by second
+	w.locked(func() {
+		check := w.state.BeforePut
+		w.state.BeforePut = func(c protocol.Change, old protocol.Item, exists bool) {
+			check(c, old, exists)
+			if kind, _ := bookkeeping.ParseKey(c.Put); kind == bookkeeping.KindMachine && exists {
+				raised[int(time.Now().Unix())]++
+			}
+		}
+	})
+	teams := []string{"red", "blue", "green"}
+	begun := time.Now()
+	for i := 0; time.Since(begun) < 75*time.Second; i++ {
+		if at := time.Since(begun); at > 10*time.Second && at < 70*time.Second {
+			w.locked(func() {
+				if w.lateCommands == nil {
+					w.lateCommands = &lateCommands{share: 0.5}
+				}
+			})
+		} else {
+			w.locked(func() { w.lateCommands = nil })
+		}
+		s := spec(fmt.Sprintf("job-%d", i), 1+i%5, teams[i%3])
+		s.Urgency, s.DeadlineS, s.CPUs = protocol.Urgency(i%4), 0, float64(2+2*(i%2))
+		if i%9 == 8 {
+			s.Gang, s.Tasks = true, 3
+		}
+		w.submit(s)
+		if i%4 == 3 {
+			after := time.Duration(i%7) * 900 * time.Millisecond
+			w.group.Go(func() {
+				time.Sleep(after)
+				w.insist(s.ID, i)
+			})
+		}
+		if i%20 == 10 {
+			w.locked(func() {
+				names := slices.Sorted(maps.Keys(w.workers))
+				for _, name := range names[:len(names)/5] {
+					notice := time.Now().Add(15 * time.Second)
+					if wk := w.workers[name]; wk.Notice == nil && wk.Spot {
+						wk.Notice = &notice
+						w.group.Go(func() {
+							time.Sleep(15 * time.Second)
+							w.locked(func() { w.stop(name); delete(w.cloud.Machines, name) })
+							w.meets("machines taken")
+						})
+					}
+				}
+			})
+		}
+		time.Sleep(600 * time.Millisecond)
+	}
+	w.locked(func() { w.lateCommands = nil })
+	most := 0
+	for _, n := range raised {
+		most = max(most, n)
+	}
+	var late []string
+	w.locked(func() {
+		for _, start := range w.afterCancel {
+			// What was fetching as its job was cancelled is another matter than a start
+			// that came after it.
+			if start.after > time.Second+answerPatience {
+				late = append(late, fmt.Sprintf("%s %s after", start.task, start.after))
+			}
+		}
+	})
+	if len(late) > 0 {
+		w.t.Errorf("started after their cancellation: %v", late)
+	}
+	if limit := raisedMost * w.set.Params.State.WriteRPS; float64(most) > limit {
+		w.t.Errorf("%d records of machines written in a second, at most %v", most, limit)
+	}
+	done, refused, stops, taken := w.metTimes("late start done"), w.metTimes("late start refused"), w.metTimes("late stop done"), w.metTimes("machines taken")
+	if done < 10 || refused < 3 || stops < 3 || taken < 1 || len(raised) == 0 {
+		return fmt.Errorf("%d late starts done, %d refused, %d late stops, %d machines taken, raises in %d seconds", done, refused, stops, taken, len(raised))
+	}
+	return nil
+}
+
+// Each meeting of commands that are late, of slow links and of zones without room breaks
+// no rule, and everything is over in time.
+func TestCommandMeetings(t *testing.T) {
+	playMeetings(t, 600, commandMeetings)
+}
--- a/internal/coordination/commits.go
+++ b/internal/coordination/commits.go
@@ -20,7 +20,7 @@
 	txn    protocol.Transaction
 	chunks []batchChunk
 	finals []*job
-	bumps  []*machine
+	raised []*machine
 	starts []*attempt
 	// doomed are the jobs that the batch withdraws; it then holds nothing else.
 	doomed []*job
@@ -149,6 +149,7 @@
 	if len(b.doomed) > 0 {
 		return b
 	}
+	c.raiseTokens(b, p, now, ops/2)
 	c.place(p, now)
 	c.preempt(p, now)
 	size := 0
@@ -165,15 +166,7 @@
 			size += c.addChunk(b, p, j, ch)
 		}
 	}
-	for _, m := range c.machines {
-		if m.wantBump && m.rec.Part == p.index && !m.sending && len(b.txn.Then) < ops {
-			// Writing the record again raises the machine's token.
-			key := bookkeeping.MachineKey(m.name)
-			b.txn.If = append(b.txn.If, protocol.Condition{Key: key, Version: m.version})
-			b.txn.Then = append(b.txn.Then, protocol.Change{Put: key, Value: bookkeeping.Encode(m.rec)})
-			b.bumps = append(b.bumps, m)
-		}
-	}
+	c.raiseTokens(b, p, now, ops)
 	if len(b.txn.Then) == 0 {
 		return nil
 	}
@@ -323,7 +316,7 @@
 	for m := range targets {
 		c.sendOrders(m)
 	}
-	for _, m := range b.bumps {
+	for _, m := range b.raised {
 		if c.machines[m.name] == m {
 			c.machineRecorded(m.name, m.rec, rev, now)
 		}
@@ -357,9 +350,9 @@
 	if unknown {
 		c.metrics.Count(observe.Unanswered, 1)
 		c.log.Info("commit unanswered", "part", p.index, "reason", err)
-		for _, m := range b.bumps {
+		for _, m := range b.raised {
 			// The watch or the next report shows whether it was applied.
-			m.wantBump = true
+			m.raiseToken(time.Now())
 		}
 		return
 	}
--- a/internal/coordination/follow_test.go
+++ b/internal/coordination/follow_test.go
@@ -158,7 +158,7 @@
 		}
 		for _, c := range two {
 			for _, m := range c.machines {
-				m.sending = true // nothing is sent here
+				m.pendingOrders = 1 // nothing is sent here
 			}
 		}
 		two[0].following.install(p[0], warm, nil, true)
--- a/internal/coordination/handover.go
+++ b/internal/coordination/handover.go
@@ -76,7 +76,7 @@
 		}
 	}
 	for _, m := range c.machines {
-		if m.sending && c.parts[m.rec.Part].mine {
+		if m.pendingOrders > 0 && c.parts[m.rec.Part].mine {
 			return true
 		}
 	}
--- a/internal/coordination/history_test.go
+++ b/internal/coordination/history_test.go
@@ -207,7 +207,7 @@
 // toldTroubles are those under which users ask: answers are lost while others read what
 // was written, transactions are late, controllers end or are cut off.
 func toldTroubles(seed uint64) []meeting {
-	kinds := []string{"lost answers", "lost answers", "late writes", "crash", "refused", "cut from all but workers", "outage", "hand-over", "still", "watches stuck", "crash of all"}
+	kinds := []string{"lost answers", "lost answers", "late writes", "crash", "refused", "cut from all but workers", "outage", "hand-over", "still", "watches stuck", "crash of all", "late commands", "slow links"}
 	rng := rand.New(rand.NewPCG(seed, 79))
 	plan := []meeting{{Kind: "late writes", At: 14 * time.Second, For: 10 * time.Second, Share: 0.5},
 		{Kind: "lost answers", At: 32 * time.Second, For: 10 * time.Second, Share: 0.5}}
@@ -224,7 +224,12 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			plan := toldTroubles(seed)
 			h := &history{jobs: map[string][]porcupine.Operation{}}
-			simulatePrepared(t, 30_000+seed, announce, func(w *world) {
+			prepare := func(w *world) {
+				if announce(w); seed%3 == 2 {
+					w.old = map[string]bool{"n1": true}
+				}
+			}
+			simulatePrepared(t, 30_000+seed, prepare, func(w *world) {
 				time.Sleep(2 * time.Second)
 				w.locked(func() {
 					w.cloud.Capacity = 16
@@ -268,18 +273,7 @@
 			if h.answers < 24*15 || h.finals < 24*4 {
 				t.Errorf("only %d answers, %d of them final", h.answers, h.finals)
 			}
-			for job, ops := range h.jobs {
-				for i := range ops {
-					ops[i].ClientId = i
-				}
-				if !porcupine.CheckOperations(jobModel, ops) {
-					t.Errorf("%s: told what no job's life gives", job)
-					slices.SortFunc(ops, func(a, b porcupine.Operation) int { return int(a.Call - b.Call) })
-					for _, op := range ops {
-						t.Logf("%d-%d %s", op.Call, op.Return, jobModel.DescribeOperation(op.Input, op.Output))
-					}
-				}
-			}
+			h.check(t)
 			if t.Failed() {
 				for _, m := range plan {
 					t.Log(m)
@@ -289,6 +283,24 @@
 	}
 }
 
+// check fails the test for each job of which users were told what no life of a job gives.
+func (h *history) check(t *testing.T) {
+	t.Helper()
+	for job, ops := range h.jobs {
+		for i := range ops {
+			ops[i].ClientId = i
+		}
+		if porcupine.CheckOperations(jobModel, ops) {
+			continue
+		}
+		t.Errorf("%s: told what no job's life gives", job)
+		slices.SortFunc(ops, func(a, b porcupine.Operation) int { return int(a.Call - b.Call) })
+		for _, op := range ops {
+			t.Logf("%d-%d %s", op.Call, op.Return, jobModel.DescribeOperation(op.Input, op.Output))
+		}
+	}
+}
+
 // The checker itself must refuse what a user may not be told.
 func TestHistoryOfAJob(t *testing.T) {
 	accepted, done, gone, unknown := told{201, "queued"}, told{200, "done"}, told{200, "withdrawn"}, told{status: 404}
--- a/internal/coordination/meetings_table_test.go
+++ b/internal/coordination/meetings_table_test.go
@@ -565,7 +565,12 @@
 
 // Each meeting of docs/meetings.md breaks no rule, and everything is over in time.
 func TestMeetings(t *testing.T) {
-	for i, m := range meetingTests {
+	playMeetings(t, 400, meetingTests)
+}
+
+// playMeetings plays each meeting in a world of its own, with seeds from one on.
+func playMeetings(t *testing.T, seed uint64, meetings []meetingTest) {
+	for i, m := range meetings {
 		t.Run(strings.ReplaceAll(m.name, " ", "-"), func(t *testing.T) {
 			prepare := func(w *world) {
 				w.cloud.Capacity = 16
@@ -573,7 +578,7 @@
 					m.prepare(w)
 				}
 			}
-			simulatePrepared(t, 400+uint64(i), prepare, func(w *world) {
+			simulatePrepared(t, seed+uint64(i), prepare, func(w *world) {
 				time.Sleep(2 * time.Second)
 				if err := m.play(w); err != nil {
 					t.Errorf("the troubles did not meet: %v", err)
--- a/internal/coordination/model.go
+++ b/internal/coordination/model.go
@@ -37,8 +37,9 @@
 	cause     string
 	startedAt time.Time // first seen running
 	committed time.Time
-	sentToken uint64 // highest token under which a start was sent
-	inFlight  int    // orders on their way that carry its start
+	sentToken uint64    // highest token under which a start was sent
+	sentAt    time.Time // when a start was last sent
+	inFlight  int       // orders on their way that carry its start
 	// unanswered says that a start was sent and nobody knows whether it
 	// arrived: it may still, so the attempt must not be reaped under this token.
 	unanswered bool
@@ -225,13 +226,17 @@
 	idleSince    time.Time
 	recordedAt   time.Time
 	ownedSince   time.Time // since when its owner could have heard it
-	wantBump     bool
-	sending      bool
-	again        bool
-	lastOrders   time.Time
-	attempts     map[string]*attempt // by wire name and number
-	foreign      map[string]protocol.TaskReport
-	images       map[string]time.Time
+	// raiseBy is by when the machine's token is to be raised; zero: it need not be.
+	raiseBy time.Time
+	// pendingOrders is how many orders wait for the worker's answer, orderedAt when the
+	// newest of them was sent; again: there is more to command once they are answered.
+	pendingOrders int
+	orderedAt     time.Time
+	again         bool
+	lastOrders    time.Time
+	attempts      map[string]*attempt // by wire name and number
+	foreign       map[string]protocol.TaskReport
+	images        map[string]time.Time
 	// tellable is what the standby was told of it, noted where in the tale that stands.
 	tellable tellable
 	noted    uint64
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -182,7 +182,7 @@
 		if m.rec.Part != p.index {
 			continue
 		}
-		idle := len(m.attempts) == 0 && len(m.foreign) == 0 && m.fenced && !m.sending
+		idle := len(m.attempts) == 0 && len(m.foreign) == 0 && m.fenced && m.pendingOrders == 0
 		st := &peer.MachineStatus{Name: m.name, Heard: m.heard, Idle: idle, Lost: m.lost, Retiring: !m.retiring.IsZero(),
 			Faulty: m.faulty, Addr: m.rec.Addr,
 			NeverUp: !m.heard && len(m.attempts) == 0 && m.typ != nil && now.Sub(m.ownedSince) > neverUpPause && m.age(now) > c.bootLimit(m.typ)}
@@ -273,7 +273,7 @@
 			reply.Reason = "not mine"
 			return
 		}
-		if m.heard && !m.lost && (len(m.attempts) > 0 || len(m.foreign) > 0 || m.sending || m.moving || !m.fenced) || !m.heard && !fr.Retire {
+		if m.heard && !m.lost && (len(m.attempts) > 0 || len(m.foreign) > 0 || m.pendingOrders > 0 || m.moving || !m.fenced) || !m.heard && !fr.Retire {
 			reply.Reason = "in use"
 			return
 		}
@@ -308,7 +308,7 @@
 		reply.Reason = err.Error()
 		// An unanswered move may still be applied; until the record shows, the
 		// machine stays out of use for a while and is then claimed by a bump.
-		m.wantBump = true
+		m.raiseToken(time.Now())
 	})
 	return reply
 }
--- a/internal/coordination/random_meetings_test.go
+++ b/internal/coordination/random_meetings_test.go
@@ -35,16 +35,16 @@
 
 var meetingKinds = []string{"late writes", "lost answers", "late reports", "old reports", "deaf", "mute", "refused", "cut from all but workers",
 	"cut from workers", "cut off", "outage", "watches stuck", "crash", "crash of all", "away", "still", "hand-over", "hang", "die", "cancel now", "cancel at end",
-	"zone cut", "lost messages", "cloud down"}
+	"zone cut", "lost messages", "cloud down", "late commands", "late commands", "lost command answers", "slow links"}
 
 var meetingSteps = []string{"", "", "claim", "leader", "life", "final", "run", "machine"}
 
-// drawMeetings draws pairs of troubles that overlap.
+// drawMeetings draws troubles that overlap, two to four at a time.
 func drawMeetings(seed uint64) (plan []meeting) {
 	rng := rand.New(rand.NewPCG(seed, 77))
 	for pair := range 5 {
 		at := time.Duration(10+pair*22)*time.Second + time.Duration(rng.IntN(8000))*time.Millisecond
-		for range 2 + rng.IntN(2) {
+		for range 2 + rng.IntN(3) {
 			m := meeting{Kind: meetingKinds[rng.IntN(len(meetingKinds))], At: at + time.Duration(rng.IntN(4000))*time.Millisecond,
 				Arg: rng.IntN(1000), Share: 0.1 + 0.6*rng.Float64(), With: meetingSteps[rng.IntN(len(meetingSteps))]}
 			m.For = time.Duration(500+rng.IntN(15_000)) * time.Millisecond
@@ -310,6 +310,18 @@
 				w.trouble = 0.05
 			}
 		})
+	case "late commands", "lost command answers":
+		during(func(on bool) {
+			if w.lateCommands = nil; on {
+				w.lateCommands = &lateCommands{share: m.Share, atOnce: m.Kind == "lost command answers"}
+			}
+		})
+	case "slow links":
+		during(func(on bool) {
+			if w.slowLinks = 0; on {
+				w.slowLinks = 700 * time.Millisecond
+			}
+		})
 	case "cloud down":
 		cut(func(_, host string) bool { return host == "cloud" })
 	default:
@@ -384,7 +396,9 @@
 	for range plan {
 		<-over
 	}
-	w.locked(func() { w.lateWrites, w.lateReports, w.trouble, w.atEnd = 0, 0, 0, nil })
+	w.locked(func() {
+		w.lateWrites, w.lateReports, w.trouble, w.atEnd, w.lateCommands, w.slowLinks = 0, 0, 0, nil, nil, 0
+	})
 	w.finish(5 * time.Minute)
 	for _, id := range ids {
 		for _, l := range []string{"n0", "n1", "n2"} {
@@ -463,12 +477,13 @@
 }
 
 // ground is the world that a meeting takes place in: a small one, one whose owners let
-// others carry their machines' connections, and one with many machines.
+// others carry their machines' connections, one with many machines, and one in which a
+// controller is of a version that knows neither copies, shares nor news.
 func ground(seed uint64) func(w *world) {
 	return func(w *world) {
 		announce(w)
 		w.cloud.Capacity, w.stormTasks = 16, 4
-		switch seed % 3 {
+		switch seed % 4 {
 		case 1:
 			crowded(w)
 			w.stormTasks = 8
@@ -476,6 +491,8 @@
 			w.cloud.Capacity, w.stormTasks = 90, 60
 			w.set.Params.Teams = []settings.Team{{Name: "red", CPUs: 60, CPUsMax: 120}, {Name: "blue", CPUs: 60, CPUsMax: 200}, {Name: "green"}}
 			w.set.Params.State.RPS, w.set.Params.State.WriteRPS = 600, 200
+		case 3:
+			w.old = map[string]bool{"n1": true}
 		}
 	}
 }
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -29,6 +29,12 @@
 	lateReports float64
 	forNext     bool
 	kept        []keptReport
+	// lateCommands says what becomes of direct commands; nil: they arrive.
+	lateCommands *lateCommands
+	// afterCancel are the starts of tasks whose job's user had been told that it is cancelled.
+	afterCancel []startAfterCancel
+	// slowLinks is by how much a message may be late on its way; 0: by milliseconds.
+	slowLinks time.Duration
 	// deaf machines' reports arrive, answers and orders to them are lost; mute ones reach
 	// nobody, orders reach them.
 	deaf, mute map[string]bool
@@ -45,6 +51,100 @@
 	met     map[string]int
 }
 
+// lateCommands holds direct commands up: the sender gets no answer, and the worker carries
+// them out once, 2 to 16 s later, if token and session still match then.
+type lateCommands struct {
+	// share of the commands is held up, of those that hold the verb ("fence": no command at
+	// all; "": any).
+	share float64
+	verb  string
+	// after is how long; 0: drawn. atOnce: only the answer is lost.
+	after  time.Duration
+	atOnce bool
+}
+
+// startAfterCancel is a task that started after its job's cancellation was confirmed.
+type startAfterCancel struct {
+	task    string
+	machine string
+	after   time.Duration
+}
+
+// linkDelay is how long a message is on its way beyond the usual. The lock is held.
+func (w *world) linkDelay() time.Duration {
+	if w.slowLinks == 0 {
+		return 0
+	}
+	return time.Duration(w.rng.Int64N(int64(w.slowLinks)))
+}
+
+const fenceVerb = "fence"
+
+// verbsOf lists the kinds of the commands of an order.
+func verbsOf(body []byte) (verbs map[string]bool) {
+	var orders protocol.Orders
+	must(protocol.Decode(body, &orders))
+	verbs = map[string]bool{}
+	for _, command := range orders.Commands {
+		verbs[command.Op] = true
+	}
+	if len(orders.Commands) == 0 {
+		verbs[fenceVerb] = true
+	}
+	return verbs
+}
+
+// heldUp says whether and for how long a message to a worker is held up. The lock is held.
+func (w *world) heldUp(target string, body []byte) (after time.Duration, held bool) {
+	late := w.lateCommands
+	if late == nil || target != "/orders" || w.rng.Float64() >= late.share {
+		return 0, false
+	}
+	if late.verb != "" && !verbsOf(body)[late.verb] {
+		return 0, false
+	}
+	switch {
+	case late.atOnce:
+		return time.Millisecond, true
+	case late.after > 0:
+		return late.after, true
+	}
+	return 2*time.Second + time.Duration(w.rng.Int64N(int64(14*time.Second))), true
+}
+
+// commandLate brings a command that nobody waits for any more to its worker. One that
+// hangs carries it out when it goes on.
+func (w *world) commandLate(machine string, after time.Duration, body []byte) {
+	for wait := after; ; wait = 100 * time.Millisecond {
+		select {
+		case <-time.After(wait):
+		case <-w.ctx.Done():
+			return
+		}
+		w.mu.Lock()
+		wk := w.workers[machine]
+		hangs := wk != nil && wk.Hung
+		w.mu.Unlock()
+		if wk == nil {
+			return
+		}
+		if hangs {
+			continue
+		}
+		resp := w.serveWorker(wk, "/orders", body)
+		w.locked(func() {
+			for verb := range verbsOf(body) {
+				if resp != nil && resp.Status == 200 {
+					w.meets("late " + verb + " done")
+				} else {
+					w.meets("late " + verb + " refused")
+				}
+			}
+		})
+		return
+	}
+}
+
 type keptReport struct {
 	machine string
 	body    []byte
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -216,8 +216,8 @@
 			// Stays until its end is on record.
 		case a.state == attemptSeen:
 			c.attemptGone(a, "vanished", now)
-		case a.state == attemptCommitted && a.inFlight == 0 && a.stopping && (a.sentToken == 0 || a.sentToken < r.Token):
-			// No start of ours can still arrive under this token.
+		case a.state == attemptCommitted && a.stopping && a.sentToken < r.Token:
+			// No start of ours can still arrive under this token, also none under way.
 			c.attemptGone(a, "never started", now)
 		}
 	}
@@ -372,6 +372,7 @@
 		return
 	}
 	a.stopping, a.stopGrace, a.stopAt = true, grace, now
+	c.keepOut(a, now)
 	c.sendOrders(a.machine)
 }
 
@@ -414,7 +415,7 @@
 			if a.inFlight > 0 || repair && a.sentToken == 0 && now.Sub(a.committed) < 500*time.Millisecond {
 				continue
 			}
-			a.sentToken = token
+			a.sentToken, a.sentAt = token, now
 			cmds = append(cmds, protocol.Command{Op: protocol.OpStart, Task: a.wire(), Attempt: a.number})
 		case a.state == attemptSeen && a.stopping:
 			grace := a.stopGrace
@@ -424,7 +425,7 @@
 			cmds = append(cmds, protocol.Command{Op: protocol.OpStop, Task: a.wire(), Attempt: a.number, GraceS: grace})
 		case a.state == attemptOver && a.inFlight == 0:
 			if a.unanswered && a.sentToken >= token {
-				m.wantBump = true // a repeated start may still arrive (9)
+				m.raiseToken(now.Add(reapPatience)) // a repeated start may still arrive (9)
 				continue
 			}
 			cmds = append(cmds, protocol.Command{Op: protocol.OpForget, Task: a.wire(), Attempt: a.number})
@@ -460,10 +461,15 @@
 
 // sendOrders sends direct commands, one request at a time for each machine.
 func (c *Controller) sendOrders(m *machine) {
-	if m.sending {
+	if m.pendingOrders > 0 {
 		m.again = true
 		return
 	}
+	c.sendOrdersNow(m)
+}
+
+// sendOrdersNow sends direct commands, whatever else is under way.
+func (c *Controller) sendOrdersNow(m *machine) {
 	p := c.parts[m.rec.Part]
 	if !p.ready || !m.fenced || m.lost || m.rec.Addr == "" {
 		return
@@ -481,13 +487,14 @@
 			starts = append(starts, a)
 		}
 	}
-	m.sending, m.again = true, false
+	m.again = false
+	m.ordering(now)
 	orders := protocol.Orders{Token: c.token(m), Session: m.session, Commands: cmds}
 	via, name, addr := p.ledger.Via(m.share, now), m.name, m.rec.Addr
 	c.duty.Go(func() {
 		r, sent, err := c.postOrders(via, name, addr, orders)
 		c.do(func() {
-			m.sending = false
+			m.pendingOrders--
 			for _, a := range starts {
 				a.inFlight--
 				if sent && r == nil {
@@ -530,7 +537,8 @@
 		return nil, !errors.Is(err, transport.ErrNotSent), err
 	}
 	if resp.Status != 200 && resp.Status != 409 {
-		return nil, false, errStale
+		// Only a refusal shows that they will never be carried out.
+		return nil, resp.Status >= 500, errStale
 	}
 	r = new(protocol.Report)
 	if err := protocol.Decode(resp.Body, r); err != nil {
@@ -549,10 +557,14 @@
 // for its next report, so that nobody older commands it any more (7).
 func (c *Controller) fence(m *machine) {
 	m.fenced = false
-	if m.sending || m.rec.Addr == "" || m.lost {
+	if m.rec.Addr == "" || m.lost {
+		return
+	}
+	// The answer to a command that is held up is not waited for where it matters.
+	if m.pendingOrders > 0 && !(m.cancelling() && m.pendingOrders < pendingOrdersMost) {
 		return
 	}
-	m.sending = true
+	m.ordering(time.Now())
 	orders := protocol.Orders{Token: c.token(m), Session: max(m.session, m.hint, 1), Commands: []protocol.Command{}}
 	via, name, addr := c.parts[m.rec.Part].ledger.Toward(m.share, time.Now()), m.name, m.rec.Addr
 	c.duty.Go(func() {
@@ -562,7 +574,7 @@
 			r, _, err = c.postOrders(via, name, addr, orders)
 		}
 		c.do(func() {
-			m.sending = false
+			m.pendingOrders--
 			if err != nil {
 				c.log.Debug("fencing failed", "machine", m.name, "reason", err)
 				return
@@ -598,7 +610,7 @@
 		m.movedBound = m.answeredBy
 	}
 	m.rec, m.version, m.typ = rec, version, c.types[rec.Type]
-	m.moving, m.fenced, m.wantBump = false, false, false
+	m.moving, m.fenced, m.raiseBy = false, false, time.Time{}
 	if p := c.parts[rec.Part]; p.mine && p.ready && (moved || m.heard) {
 		c.fence(m)
 	}
@@ -653,13 +665,12 @@
 			c.drain(m, now)
 		}
 		for _, a := range m.attempts {
-			if a.state == attemptCommitted && a.stopping && a.inFlight == 0 && a.sentToken >= c.token(m) &&
-				now.Sub(a.stopAt) > time.Second {
-				// Its start may still arrive; only a higher token keeps it out.
-				m.wantBump = true
-			}
+			c.keepOut(a, now)
+		}
+		if m.cancelling() && now.Sub(m.orderedAt) > answerPatience {
+			c.repeatOrders(m)
 		}
-		if m.fenced && !m.sending && now.Sub(m.lastOrders) > time.Second && m.pending() {
+		if m.fenced && m.pendingOrders == 0 && now.Sub(m.lastOrders) > time.Second && m.pending() {
 			m.lastOrders = now
 			c.sendOrders(m)
 		}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -99,7 +99,10 @@
 	w.state = state.New(&w.mu)
 	w.state.Page = 25
 	w.state.Oversized = func(what string) { w.breakRule("%s", what) }
-	w.state.BeforePut = w.checkClaim
+	w.state.BeforePut = func(c protocol.Change, old protocol.Item, exists bool) {
+		w.checkClaim(c, old, exists)
+		w.checkFinal(c, exists)
+	}
 	w.cloud = cloud.New(&w.mu)
 	w.cloud.Capacity, w.cloud.ListLag = 12, settings.Seconds(w.set.Params.Cloud.ListLagS)
 	w.cloud.Boot, w.cloud.Stop = w.boot, w.stop
@@ -131,6 +134,7 @@
 			w.start("n" + strconv.Itoa(i))
 		}
 		f(w)
+		w.checkSettled()
 		for _, n := range w.nodes {
 			n.cancel()
 		}
@@ -202,12 +206,17 @@
 	host, _, _ := strings.Cut(addr, ":")
 	w.mu.Lock()
 	fate := w.rng.Float64()
-	delay := time.Duration(1+w.rng.IntN(4)) * time.Millisecond
+	delay := time.Duration(1+w.rng.IntN(4))*time.Millisecond + w.linkDelay()
 	after := time.Duration(w.rng.IntN(20_000)) * time.Millisecond
 	trouble := w.trouble
 	cut := w.cut != nil && w.cut(nn.n.label, host) || w.deaf[host]
 	asked := w.asked
 	late, lost := w.lateWrite(host, target, body)
+	var heldFor time.Duration
+	held := false
+	if w.workers[host] != nil && !cut {
+		heldFor, held = w.heldUp(target, body)
+	}
 	w.mu.Unlock()
 	w.awaitHeld(nn.n.label)
 	if lost {
@@ -215,6 +224,12 @@
 		<-ctx.Done()
 		return nil, fmt.Errorf("no answer to a transaction: %w", ctx.Err())
 	}
+	if held {
+		w.locked(func() { w.meets("held up from " + nn.n.label) })
+		w.group.Go(func() { w.commandLate(host, heldFor, body) })
+		<-ctx.Done()
+		return nil, fmt.Errorf("held up: %w", ctx.Err())
+	}
 	if asked != nil && asked(nn.n.label, host, target, body) {
 		cut = true
 	}
@@ -354,6 +369,13 @@
 	}
 }
 
+// checkFinal sees that how a job ended is written once: controllers answer it from memory (15).
+func (w *world) checkFinal(c protocol.Change, exists bool) {
+	if kind, job := bookkeeping.ParseKey(c.Put); kind == bookkeeping.KindFinal && exists {
+		w.breakRule("the end of %s is written twice", job)
+	}
+}
+
 // checkReleases sees that whoever writes that it gave claims up acts under none of them.
 func (w *world) checkReleases(label string, value []byte) {
 	var life bookkeeping.Life
@@ -429,6 +451,7 @@
 	n := w.nodes[label]
 	lost := w.rng.Float64() < w.trouble || w.cut != nil && w.cut(label, machine) || w.mute[machine]
 	deaf := w.deaf[machine]
+	there, back := w.linkDelay(), w.linkDelay()
 	if !lost {
 		w.copyReport(machine, label, report)
 	}
@@ -436,12 +459,13 @@
 	if n == nil || lost {
 		return 0, nil
 	}
-	time.Sleep(2 * time.Millisecond)
+	time.Sleep(2*time.Millisecond + there)
 	w.awaitHeld(label)
 	resp := n.checkin(w, machine, report)
 	if deaf {
 		return 0, nil
 	}
+	time.Sleep(back)
 	return resp.Status, resp.Body
 }
 
@@ -542,8 +566,12 @@
 		s.Spread && zone > (s.Tasks+1)/2 {
 		w.breakRule("wrong_place: %s on %s %s spot %v", t.Name, wk.Type, wk.Zone, wk.Spot)
 	}
-	if !uj.withdrawn.IsZero() && time.Since(uj.withdrawn) > 25*time.Second {
-		w.breakRule("ran_cancelled: %s started", t.Name)
+	if !uj.withdrawn.IsZero() {
+		after := time.Since(uj.withdrawn)
+		w.afterCancel = append(w.afterCancel, startAfterCancel{t.Name, wk.Name, after})
+		if after > settings.Seconds(w.set.Params.Workers.CancelS) {
+			w.breakRule("ran_cancelled: %s started", t.Name)
+		}
 	}
 }
 
@@ -580,7 +608,13 @@
 		w.onOrders(wk.Name, &o)
 		body = protocol.Encode(o)
 	}
-	return wk.Serve(path, body)
+	resp := wk.Serve(path, body)
+	if path == "/orders" && resp != nil && resp.Status == 409 {
+		for verb := range verbsOf(body) {
+			w.meets("refused " + verb)
+		}
+	}
+	return resp
 }
 
 // spec is a job that fits everywhere.
