--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 check: build
 	test -z "$$(gofmt -l cmd internal)"
 	go vet ./...
+	go tool staticcheck -checks all ./...
 	target/spindleregress tests
 
 # The controller as deploy/service.toml does; the others need not link to libc.
--- a/internal/coordination/fit/fit.go
+++ b/internal/coordination/fit/fit.go
@@ -47,9 +47,9 @@
 }
 
 // Allows says whether one more task keeps a team within this limit; 0 is none.
-func (limit Share) Allows(used Share, need Amounts) bool {
-	return (limit.CPUs <= 0 || used.CPUs+need.CPUs <= limit.CPUs+Epsilon) &&
-		(limit.GPUs <= 0 || used.GPUs+need.GPUs <= limit.GPUs+Epsilon)
+func (s Share) Allows(used Share, need Amounts) bool {
+	return (s.CPUs <= 0 || used.CPUs+need.CPUs <= s.CPUs+Epsilon) &&
+		(s.GPUs <= 0 || used.GPUs+need.GPUs <= s.GPUs+Epsilon)
 }
 
 // Size is what an empty machine of a type has.
--- /dev/null
+++ b/internal/protocol/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer holds the messages between controllers, generated from peer.proto.
+package peer
