--- a/internal/coordination/news.go
+++ b/internal/coordination/cancellation_notices.go
@@ -7,12 +7,12 @@
 	"micaspindle/internal/protocol/peer"
 )
 
-// news is the withdrawals that became known here of late, for the other controllers:
-// one that the state service alone refuses hears of them from nobody else, and its
-// workers still come to it. The news may be lost; what a task may then outlive its job's
+// cancellationNotices are the withdrawals that became known here of late, for the other
+// controllers: one that the state service alone refuses hears of them from nobody else, and
+// its workers still come to it. A notice may be lost; what a task may then outlive its job's
 // withdrawal by is bounded by what its owner is informed of (42, 43). It belongs to the
 // loop.
-type news struct{ list []withdrawn }
+type cancellationNotices struct{ list []withdrawn }
 
 // withdrawn is a job and when that was at the earliest.
 type withdrawn struct {
@@ -20,17 +20,17 @@
 	at  time.Time
 }
 
-// newsMost is how many withdrawals are told at a time, the newest.
-const newsMost = 500
+// noticesMost is how many withdrawals are told at a time, the newest.
+const noticesMost = 500
 
 // note adds a withdrawal.
-func (n *news) note(job string, at time.Time) {
+func (n *cancellationNotices) note(job string, at time.Time) {
 	n.list = append(n.list, withdrawn{job, at})
-	n.list = n.list[max(0, len(n.list)-newsMost):]
+	n.list = n.list[max(0, len(n.list)-noticesMost):]
 }
 
 // latest is what there is to tell: a withdrawal for as long as a task of it may run.
-func (n *news) latest(now time.Time, keep time.Duration) (told []*peer.Withdrawn) {
+func (n *cancellationNotices) latest(now time.Time, keep time.Duration) (told []*peer.Withdrawn) {
 	old := 0
 	for old < len(n.list) && now.Sub(n.list[old].at) > keep {
 		old++
@@ -43,7 +43,7 @@
 }
 
 // since is when a job was withdrawn, at the earliest; zero: longer ago than is kept.
-func (n *news) since(job string) time.Time {
+func (n *cancellationNotices) since(job string) time.Time {
 	for _, w := range n.list {
 		if w.job == job {
 			return w.at
@@ -52,9 +52,9 @@
 	return time.Time{}
 }
 
-// heardNews takes in what another controller has seen committed. Such a record never
+// heardNotices takes in what another controller has seen committed. Such a record never
 // changes, so that it is as good as read, however late it comes.
-func (c *Controller) heardNews(sum *peer.Summary, now time.Time) {
+func (c *Controller) heardNotices(sum *peer.Summary, now time.Time) {
 	for _, w := range sum.Withdrawn {
 		if protocol.ValidID(w.Job) {
 			c.setFinal(w.Job, protocol.StatusWithdrawn, now.Add(-time.Duration(w.AgeMs)*time.Millisecond))
--- a/internal/coordination/carry.go
+++ b/internal/coordination/carry.go
@@ -129,7 +129,7 @@
 	}
 	e.keep(m.name, answered{bytes.Clone(raw), r.Session, r.Sequence})
 	nudge(e.kick)
-	return transport.Response{Status: 200, Body: protocol.Encode(protocol.Orders{Token: token, Commands: c.recalls(r)})}, true
+	return transport.Response{Status: 200, Body: protocol.Encode(protocol.Orders{Token: token, Commands: c.stopsOfWithdrawn(r)})}, true
 }
 
 // named says whether a part's owner wants this controller to carry something of it.
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -86,7 +86,7 @@
 	succession
 	following following
 	carrying  carrying
-	news      news
+	notices   cancellationNotices
 	// leaving: this controller is about to end and hands over what it has.
 	leaving bool
 	// heardLeader is what the last leader told of what it was about.
@@ -626,7 +626,7 @@
 	}
 	c.finals[id] = status
 	if status == protocol.StatusWithdrawn && time.Since(at) < c.cancelS {
-		c.news.note(id, at)
+		c.notices.note(id, at)
 	}
 	for _, j := range c.graph.ended(id, status == protocol.StatusDone, time.Now()) {
 		if p := c.parts[j.part]; p.mine && p.ready {
--- a/internal/coordination/late_commands_test.go
+++ b/internal/coordination/late_commands_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -196,6 +195,6 @@
 			return machines
 		}
 	}
-	w.t.Fatal(fmt.Sprintf("no start of %s is under way", job))
+	w.t.Fatalf("no start of %s is under way", job)
 	return nil
 }
--- a/internal/coordination/meetings_test.go
+++ b/internal/coordination/meetings_test.go
@@ -34,8 +34,8 @@
 		// refusedFor is how long the refusal lasts before the outage begins; 0: until a
 		// successor has claimed the part, and not read its records.
 		refusedFor time.Duration
-		// noNews: the controllers hear nothing of it from each other; cut: nor anything else.
-		noNews, cut bool
+		// noNotices: the controllers hear nothing of it from each other; cut: nor anything else.
+		noNotices, cut bool
 		// stuck: the watches bring nothing from before the first withdrawal on.
 		stuck bool
 		// hang is for how long machines of withdrawn jobs stand still.
@@ -43,15 +43,15 @@
 		twice bool
 	}{
 		{name: "news", refusedFor: 2 * time.Second},
-		{name: "no news", refusedFor: 2 * time.Second, noNews: true},
-		{name: "no news, twice", refusedFor: 1500 * time.Millisecond, noNews: true, twice: true},
-		{name: "cut from the others too", refusedFor: 2 * time.Second, noNews: true, cut: true},
-		{name: "watches bring nothing", refusedFor: 2 * time.Second, noNews: true, stuck: true},
-		{name: "the lease ends first", refusedFor: 3600 * time.Millisecond, noNews: true},
-		{name: "a successor has claimed", noNews: true},
-		{name: "a successor decides", refusedFor: 6 * time.Second, noNews: true},
-		{name: "machines hang", refusedFor: 2 * time.Second, noNews: true, hang: 14 * time.Second},
-		{name: "machines hang, a successor has claimed", noNews: true, hang: 14 * time.Second},
+		{name: "no news", refusedFor: 2 * time.Second, noNotices: true},
+		{name: "no news, twice", refusedFor: 1500 * time.Millisecond, noNotices: true, twice: true},
+		{name: "cut from the others too", refusedFor: 2 * time.Second, noNotices: true, cut: true},
+		{name: "watches bring nothing", refusedFor: 2 * time.Second, noNotices: true, stuck: true},
+		{name: "the lease ends first", refusedFor: 3600 * time.Millisecond, noNotices: true},
+		{name: "a successor has claimed", noNotices: true},
+		{name: "a successor decides", refusedFor: 6 * time.Second, noNotices: true},
+		{name: "machines hang", refusedFor: 2 * time.Second, noNotices: true, hang: 14 * time.Second},
+		{name: "machines hang, a successor has claimed", noNotices: true, hang: 14 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			simulatePrepared(t, 301, gapWorld, func(w *world) {
@@ -75,7 +75,7 @@
 						switch i {
 						case 0:
 							w.mu.Lock()
-							w.noNews, w.state.Stuck = tc.noNews, tc.stuck
+							w.noNotices, w.state.Stuck = tc.noNotices, tc.stuck
 							w.mu.Unlock()
 						case before:
 							w.refuse(owner, true)
@@ -99,7 +99,7 @@
 					}
 					time.Sleep(45 * time.Second)
 					w.mu.Lock()
-					w.state.Stuck, w.cut, w.noNews = false, nil, false
+					w.state.Stuck, w.cut, w.noNotices = false, nil, false
 					w.mu.Unlock()
 					w.outage(false)
 					time.Sleep(30 * time.Second)
@@ -381,7 +381,7 @@
 				if got := c.outlasts(m, now.Add(time.Hour), now); got != tc.want && (tc.ago < c.cancelS || tc.status == protocol.StatusDone) {
 					t.Errorf("%s %s ago: %v", tc.status, tc.ago, got)
 				}
-				if j.withdrawnAt = c.news.since(id); tc.ago > c.cancelS && c.outlasts(m, now.Add(time.Hour), now) {
+				if j.withdrawnAt = c.notices.since(id); tc.ago > c.cancelS && c.outlasts(m, now.Add(time.Hour), now) {
 					t.Errorf("%s %s ago, found at a takeover", tc.status, tc.ago)
 				}
 			}
@@ -494,10 +494,10 @@
 // An owner that the state service refuses alone hears of withdrawals from the others and
 // stops what they concern at once; without that, a carrier that knows does so for the
 // machines that report to it (43). The bound is not needed for either.
-func TestNewsAndCarriersStopWithdrawnTasks(t *testing.T) {
+func TestNoticesAndCarriersStopWithdrawnTasks(t *testing.T) {
 	for _, tc := range []struct {
-		name   string
-		noNews bool
+		name      string
+		noNotices bool
 	}{{"news", false}, {"a carrier knows", true}} {
 		t.Run(tc.name, func(t *testing.T) {
 			prepare := func(w *world) {
@@ -521,7 +521,7 @@
 					})
 					return carried, kept
 				}
-				w.locked(func() { w.noNews = tc.noNews })
+				w.locked(func() { w.noNotices = tc.noNotices })
 				if carried, kept = count(); carried == 0 || kept == 0 {
 					t.Fatalf("%d tasks on machines that others carry, %d on others", carried, kept)
 				}
@@ -536,14 +536,14 @@
 					t.Fatal("the part changed hands")
 				}
 				carriedNow, keptNow := count()
-				if carriedNow > 0 || !tc.noNews && keptNow > 0 {
+				if carriedNow > 0 || !tc.noNotices && keptNow > 0 {
 					t.Errorf("%d and %d of %d and %d tasks left after 1.8 s", carriedNow, keptNow, carried, kept)
 				}
-				if tc.noNews && keptNow == 0 {
+				if tc.noNotices && keptNow == 0 {
 					t.Error("the owner knew without being told")
 				}
 				w.refuse(owner, false)
-				w.locked(func() { w.noNews = false })
+				w.locked(func() { w.noNotices = false })
 				time.Sleep(25 * time.Second)
 			})
 		})
@@ -551,27 +551,27 @@
 }
 
 // News say for how long a job has been withdrawn, and are taken once.
-func TestNewsBearTheirAge(t *testing.T) {
+func TestCancellationNoticesBearTheirAge(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, end := unrun(t)
 		defer end()
 		begun := time.Now()
-		c.heardNews(&peer.Summary{Withdrawn: []*peer.Withdrawn{{Job: "job-1", AgeMs: 7000}, {Job: "not an id"}}}, begun)
+		c.heardNotices(&peer.Summary{Withdrawn: []*peer.Withdrawn{{Job: "job-1", AgeMs: 7000}, {Job: "not an id"}}}, begun)
 		time.Sleep(3 * time.Second)
-		c.heardNews(&peer.Summary{Withdrawn: []*peer.Withdrawn{{Job: "job-1", AgeMs: 500}}}, time.Now())
-		if at := c.news.since("job-1"); begun.Sub(at) != 7*time.Second || len(c.finals) != 1 {
+		c.heardNotices(&peer.Summary{Withdrawn: []*peer.Withdrawn{{Job: "job-1", AgeMs: 500}}}, time.Now())
+		if at := c.notices.since("job-1"); begun.Sub(at) != 7*time.Second || len(c.finals) != 1 {
 			t.Errorf("withdrawn %s before it was heard, %d finals", begun.Sub(at), len(c.finals))
 		}
-		if told := c.news.latest(time.Now(), c.cancelS); len(told) != 1 || told[0].AgeMs != 10_000 {
+		if told := c.notices.latest(time.Now(), c.cancelS); len(told) != 1 || told[0].AgeMs != 10_000 {
 			t.Errorf("told on: %v", told)
 		}
-		for i := range newsMost + 10 {
+		for i := range noticesMost + 10 {
 			c.setFinal(fmt.Sprintf("job-%d", 10+i), protocol.StatusWithdrawn, time.Now())
 		}
-		if told := c.news.latest(time.Now(), c.cancelS); len(told) != newsMost {
+		if told := c.notices.latest(time.Now(), c.cancelS); len(told) != noticesMost {
 			t.Errorf("%d told at a time", len(told))
 		}
-		if time.Sleep(c.cancelS + time.Second); len(c.news.latest(time.Now(), c.cancelS)) != 0 {
+		if time.Sleep(c.cancelS + time.Second); len(c.notices.latest(time.Now(), c.cancelS)) != 0 {
 			t.Error("news are told for ever")
 		}
 	})
@@ -621,7 +621,7 @@
 		part := w.partOf("green")
 		owner := w.owns(part)
 		w.locked(func() {
-			w.noNews, w.state.Stuck = true, true
+			w.noNotices, w.state.Stuck = true, true
 			if len(w.runs("job-1")) != 4 || len(w.runs("job-2")) != 0 {
 				t.Fatalf("%d and %d tasks run", len(w.runs("job-1")), len(w.runs("job-2")))
 			}
@@ -648,7 +648,7 @@
 		if !unseen {
 			t.Error("the owner knew of the withdrawal before there was room")
 		}
-		w.locked(func() { w.noNews, w.state.Stuck = false, false })
+		w.locked(func() { w.noNotices, w.state.Stuck = false, false })
 		time.Sleep(5 * time.Second)
 	})
 }
--- a/internal/coordination/peers.go
+++ b/internal/coordination/peers.go
@@ -99,7 +99,7 @@
 	}
 	ps.heard, ps.summary = now, sum
 	ps.noteReporting()
-	c.heardNews(sum, now)
+	c.heardNotices(sum, now)
 	c.carrying.heard(sum)
 	// Addresses learnt by others let a new owner fence at once.
 	for _, part := range sum.Parts {
@@ -150,7 +150,7 @@
 // summary describes this controller and its parts.
 func (c *Controller) summary(now time.Time) *peer.Summary {
 	sum := &peer.Summary{From: c.set.Label, StateSilenceS: c.store.Silence().Seconds(), WriteDemand: c.writeDemand,
-		Follows: c.following.follows(), Leaving: c.leaving, Copies: true, Withdrawn: c.news.latest(now, c.cancelS),
+		Follows: c.following.follows(), Leaving: c.leaving, Copies: true, Withdrawn: c.notices.latest(now, c.cancelS),
 		Room: uint32(c.carrying.room), Connected: uint32(c.carrying.load(now).Machines)}
 	for _, p := range c.parts {
 		if p.mine && p.ready {
--- a/internal/coordination/settled_test.go
+++ b/internal/coordination/settled_test.go
@@ -26,7 +26,7 @@
 		w.state.Refused, w.state.Stuck = nil, false
 		w.cut, w.cuts, w.asked, w.answered, w.onOrders = nil, cuts{}, nil, nil, nil
 		w.trouble, w.lateWrites, w.lateReports, w.lateCommands, w.slowLinks = 0, 0, 0, nil, 0
-		w.deaf, w.mute, w.noNews, w.atEnd = nil, nil, false, nil
+		w.deaf, w.mute, w.noNotices, w.atEnd = nil, nil, false, nil
 		for _, wk := range w.workers {
 			wk.Hung = false
 		}
--- a/internal/coordination/takeover.go
+++ b/internal/coordination/takeover.go
@@ -235,7 +235,7 @@
 		}
 		j.requeueAll()
 		if c.finals[id] != "" {
-			j.withdrawn, j.withdrawnAt, j.queue = true, c.news.since(id), nil
+			j.withdrawn, j.withdrawnAt, j.queue = true, c.notices.since(id), nil
 		} else if j.doneCount == j.spec.Tasks && !j.spec.Standing {
 			j.finishing = true
 		}
--- a/internal/coordination/troubles_test.go
+++ b/internal/coordination/troubles_test.go
@@ -38,8 +38,8 @@
 	// deaf machines' reports arrive, answers and orders to them are lost; mute ones reach
 	// nobody, orders reach them.
 	deaf, mute map[string]bool
-	// noNews: no controller hears of withdrawals from another.
-	noNews bool
+	// noNotices: no controller hears of withdrawals from another.
+	noNotices bool
 	// atEnd is asked whether a job is called off at the end of its last task.
 	atEnd func(job string) bool
 	// ended, if set, hears of the ends of jobs' last tasks.
@@ -327,8 +327,8 @@
 	return list
 }
 
-// withoutNews is a summary that tells no withdrawals.
-func withoutNews(body []byte) []byte {
+// withoutNotices is a summary that tells no withdrawals.
+func withoutNotices(body []byte) []byte {
 	sum := new(peer.Summary)
 	must(proto.Unmarshal(body, sum))
 	sum.Withdrawn = nil
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -191,30 +191,8 @@
 	}
 	// A known id is looked up before anything else is said about the body, so
 	// that a repeat of an accepted job never gets 400 or 422.
-	known, catalog := false, 0
-	refusal := ""
-	c.do(func() {
-		known = c.jobs[id] != nil || c.finals[id] != ""
-		catalog = len(c.catalog)
-		if spec != nil {
-			refusal = c.impossible(spec)
-		}
-	})
-	var value []byte
-	var unread error
-	if spec != nil && refusal == "" && !known {
-		spec.SubmittedMS = time.Now().UnixMilli()
-		if who != nil {
-			spec.By = who.name
-		}
-		value = bookkeeping.Encode(spec)
-		if size, limit := protocol.JSONSize(value), c.store.ValueBytes(); size > limit {
-			refusal = tooLarge(size, limit)
-		} else if catalog > 0 {
-			refusal, unread = c.unaccepted(ctx, spec)
-		}
-	}
-	if known || err != nil || refusal != "" || unread != nil {
+	judged := c.judge(ctx, who, id, spec)
+	if judged.known || err != nil || judged.refusal != "" || judged.unread != nil {
 		st, found, rerr := c.status(ctx, id)
 		switch {
 		case rerr != nil:
@@ -223,19 +201,62 @@
 			return c.repeated(ctx, who, st)
 		case err != nil:
 			return refuse(400, oneLine(err), 0)
-		case refusal != "":
-			return refuse(422, refusal, 0)
-		case unread != nil:
-			return unavailable(unread)
+		case judged.refusal != "":
+			return refuse(422, judged.refusal, 0)
+		case judged.unread != nil:
+			return unavailable(judged.unread)
 		}
 	}
-	if catalog == 0 {
+	if !judged.typesKnown {
 		return refuse(503, "machine types are not known yet", 2)
 	}
 	if c.store.Down() {
 		return refuse(503, "state service unavailable", 1)
 	}
-	_, err = c.userCommit(ctx, &protocol.Transaction{
+	return c.accept(ctx, who, queue, id, judged.value)
+}
+
+// judgement is what memory, and reads of what a submission depends on, say of it.
+type judgement struct {
+	// known: the job was accepted before.
+	known bool
+	// typesKnown: so are the machine types, without which nothing is accepted.
+	typesKnown bool
+	// refusal is why the job can never run, "" if it can; unread why that can't be told.
+	refusal string
+	unread  error
+	// value is the record that accepts the job.
+	value []byte
+}
+
+// judge looks at a submission; spec is nil if its body is malformed.
+func (c *Controller) judge(ctx context.Context, who *caller, id string, spec *protocol.JobSpec) (j judgement) {
+	c.do(func() {
+		j.known = c.jobs[id] != nil || c.finals[id] != ""
+		j.typesKnown = len(c.catalog) > 0
+		if spec != nil {
+			j.refusal = c.impossible(spec)
+		}
+	})
+	if spec == nil || j.refusal != "" || j.known {
+		return j
+	}
+	spec.SubmittedMS = time.Now().UnixMilli()
+	if who != nil {
+		spec.By = who.name
+	}
+	j.value = bookkeeping.Encode(spec)
+	if size, limit := protocol.JSONSize(j.value), c.store.ValueBytes(); size > limit {
+		j.refusal = tooLarge(size, limit)
+	} else if j.typesKnown {
+		j.refusal, j.unread = c.unaccepted(ctx, spec)
+	}
+	return j
+}
+
+// accept commits a job's record, and answers by what became of that.
+func (c *Controller) accept(ctx context.Context, who *caller, queue rights.Queue, id string, value []byte) transport.Response {
+	_, err := c.userCommit(ctx, &protocol.Transaction{
 		If:   []protocol.Condition{{Key: bookkeeping.JobKey(id), Version: 0}},
 		Then: []protocol.Change{{Put: bookkeeping.JobKey(id), Value: value}},
 	}, c.record(who, "submit", queue, id))
@@ -581,3 +602,8 @@
 	}
 	return statusResponse(200, protocol.JobStatus{ID: id, Status: st.Status})
 }
+
+// refuse answers at once with a reason and when to come back.
+func refuse(status int, reason string, retryAfter int) transport.Response {
+	return transport.Response{Status: status, Body: protocol.Encode(protocol.Problem{Error: reason}), RetryAfter: retryAfter}
+}
--- a/internal/coordination/world_test.go
+++ b/internal/coordination/world_test.go
@@ -317,10 +317,10 @@
 			body = ofOld(path, body)
 		}
 		w.mu.Lock()
-		noNews := w.noNews
+		noNotices := w.noNotices
 		w.mu.Unlock()
-		if path == summaryPath && noNews {
-			body = withoutNews(body)
+		if path == summaryPath && noNotices {
+			body = withoutNotices(body)
 		}
 		if w.told != nil && path == talePath {
 			tale := new(peer.Tale)
