Tests: what a new owner must stop itself; random meetings wait for progress

A wrong step, a new owner that does not stop what was cancelled before it, was found by nothing: a meeting in which only direct commands reach the machines finds it. Instead of five minutes in all, some task must end in every 123 s while any job is left, which a stuck job fails sooner.

--- a/internal/coordination/command_meetings_test.go
+++ b/internal/coordination/command_meetings_test.go
@@ -260,6 +260,31 @@
 		w.cloud.Capacity = 40
 		w.set.Params.Teams = []settings.Team{{Name: "red", CPUs: 60, CPUsMax: 80}, {Name: "blue", CPUs: 60, CPUsMax: 200}, {Name: "green"}}
 	}, play: heldUpFleet, over: 5 * time.Minute},
+	{name: "jobs are cancelled as their part changes hands, and their machines reach nobody", play: func(w *world) error {
+		ids := w.longJobs(3, 4, "green", 2*time.Minute)
+		part := w.partOf("green")
+		owner := w.owns(part)
+		other := w.others(owner)[0]
+		w.locked(func() { w.mute = w.machinesOf(ids[0]) })
+		w.kill(owner)
+		between := w.owns(part) == ""
+		cancelled := w.withdrawAt(other, ids[0])
+		w.newOwner(part, owner)
+		time.Sleep(1500 * time.Millisecond) // far less than what is left of the lease
+		left := 0
+		w.locked(func() {
+			left = len(w.runs(ids[0]))
+			w.mute = nil
+		})
+		w.start(owner)
+		if left > 0 {
+			w.t.Errorf("%d of its tasks go on though commands reach their machines", left)
+		}
+		if !between || !cancelled {
+			return fmt.Errorf("cancelled %v, while nobody owned the part %v", cancelled, between)
+		}
+		return nil
+	}},
 	{name: "more work than room, urgent and not, over slow links", play: func(w *world) error {
 		w.locked(func() { w.slowLinks = 900 * time.Millisecond })
 		part := w.partOf("green")
@@ -399,8 +424,11 @@
 						wk.Notice = &notice
 						w.group.Go(func() {
 							time.Sleep(15 * time.Second)
-							w.locked(func() { w.stop(name); delete(w.cloud.Machines, name) })
-							w.meets("machines taken")
+							w.locked(func() {
+								w.stop(name)
+								delete(w.cloud.Machines, name)
+								w.meets("machines taken")
+							})
 						})
 					}
 				}
--- a/internal/coordination/random_meetings_test.go
+++ b/internal/coordination/random_meetings_test.go
@@ -351,7 +351,7 @@
 	w.locked(func() {
 		w.steps.follow(w)
 		w.runTime = func(job string, task int, _ string) time.Duration {
-			return time.Duration(3+(len(job)*7+task*5+int(job[len(job)-1]))%30) * time.Second
+			return min(longestTask, time.Duration(3+(len(job)*7+task*5+int(job[len(job)-1]))%30)*time.Second)
 		}
 	})
 	begun := time.Now()
@@ -399,7 +399,17 @@
 	w.locked(func() {
 		w.lateWrites, w.lateReports, w.trouble, w.atEnd, w.lateCommands, w.slowLinks = 0, 0, 0, nil, nil, 0
 	})
-	w.finish(5 * time.Minute)
+	// More work may be waiting than five minutes take, behind a team's limit say; but as
+	// long as any waits, some of it must end.
+	for ended := -1; ; {
+		now := w.endedTasks()
+		if now == ended {
+			break
+		}
+		ended = now
+		time.Sleep(longestTask + startedWithin)
+	}
+	w.finish(time.Minute)
 	for _, id := range ids {
 		for _, l := range []string{"n0", "n1", "n2"} {
 			w.poll(l, id)
@@ -407,6 +417,21 @@
 	}
 }
 
+// longestTask is how long the longest tasks of random meetings run.
+const longestTask = 33 * time.Second
+
+// endedTasks is how many tasks are done, or over with their cancelled jobs.
+func (w *world) endedTasks() (n int) {
+	w.locked(func() {
+		for _, uj := range w.jobs {
+			if n += len(uj.tasksDone); uj.ended == protocol.StatusWithdrawn {
+				n += uj.spec.Tasks - len(uj.tasksDone)
+			}
+		}
+	})
+	return n
+}
+
 // offer submits a job at one controller after another until it is accepted.
 func (w *world) offer(s *protocol.JobSpec, first int) {
 	for i := range 120 {
