--- /dev/null
+++ b/internal/coordination/status.go
@@ -0,0 +1,157 @@
+package coordination
+
+// What users are told of a job's state.
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"micaspindle/internal/bookkeeping"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/rights"
+	"micaspindle/internal/transport"
+)
+
+// status reads a job's state. Final states come from memory; anything else is
+// read through, since another controller may have told the user more.
+func (c *Controller) status(ctx context.Context, id string) (protocol.JobStatus, bool, error) {
+	st := protocol.JobStatus{ID: id}
+	known := false
+	c.do(func() { known = c.describe(&st) })
+	if st.Ended() {
+		return st, true, nil
+	}
+	if c.store.Down() {
+		return st, false, bookkeeping.ErrRefused
+	}
+	if known {
+		absent, err := c.store.UserAbsent(ctx, bookkeeping.FinalKey(id))
+		if err != nil {
+			return st, false, err
+		}
+		if absent {
+			return c.unfinished(ctx, st)
+		}
+		item, err := c.store.UserGet(ctx, bookkeeping.FinalKey(id))
+		if err != nil {
+			return st, false, err
+		}
+		c.do(func() {
+			c.applyFinalRecord(id, item.Value)
+			c.describe(&st)
+		})
+		return st, true, nil
+	}
+	list, err := c.store.UserList(ctx, bookkeeping.JobPrefix(id))
+	if err != nil {
+		return st, false, err
+	}
+	if len(list.Items) == 0 {
+		return st, false, nil
+	}
+	c.do(func() {
+		for _, it := range list.Items {
+			if it.Key == bookkeeping.FinalKey(id) {
+				c.applyFinalRecord(id, it.Value)
+			}
+		}
+		for _, it := range list.Items {
+			if it.Key == bookkeeping.JobKey(id) {
+				c.applyJobRecord(id, it.Value)
+			}
+		}
+		known = c.describe(&st)
+	})
+	if known && !st.Ended() {
+		return c.unfinished(ctx, st)
+	}
+	return st, known, nil
+}
+
+// staleBound is how old what this controller knows may be for it to call a job
+// with unfinished dependencies queued: the user of one of them may have been
+// told since that it is withdrawn (22).
+func (c *Controller) staleBound() time.Duration { return max(3*time.Second, c.cancelS-2*margin) }
+
+// unfinished answers for a job that is not on record as ended. One that is to
+// be withdrawn, since something that it needs was, is withdrawn first: the
+// answer must come from a record, not from what only this controller knows (23).
+func (c *Controller) unfinished(ctx context.Context, st protocol.JobStatus) (protocol.JobStatus, bool, error) {
+	doomed, stale := false, false
+	c.do(func() {
+		j := c.jobs[st.ID]
+		doomed = c.graph.doomed[st.ID] != nil
+		stale = j != nil && j.blocked && (time.Since(c.fresh) > c.staleBound() || c.graph.uncertain(st.ID))
+	})
+	switch {
+	case doomed:
+		status, err := c.withdrawNow(ctx, st.ID, nil)
+		return protocol.JobStatus{ID: st.ID, Status: status}, err == nil, err
+	case stale:
+		return st, false, fmt.Errorf("%w: changes not followed", bookkeeping.ErrRefused)
+	}
+	return st, true, nil
+}
+
+// describe fills in what memory knows of a job.
+func (c *Controller) describe(st *protocol.JobStatus) bool {
+	if f := c.finals[st.ID]; f != "" {
+		st.Status = f
+		return true
+	}
+	j := c.jobs[st.ID]
+	if j == nil {
+		return false
+	}
+	st.Done, st.Running = j.doneCount, j.running
+	if !j.owned {
+		for _, ps := range c.peers {
+			if ps.summary == nil {
+				continue
+			}
+			for _, jp := range ps.summary.Jobs {
+				if jp.Id == st.ID {
+					st.Done, st.Running = int(jp.Done), int(jp.Running)
+				}
+			}
+		}
+	}
+	st.Status = protocol.StatusQueued
+	if st.Running > 0 {
+		st.Status = protocol.StatusRunning
+	}
+	return true
+}
+
+func (c *Controller) poll(ctx context.Context, who *caller, id string) transport.Response {
+	q, refused := c.admitJob(ctx, who, rights.View, id)
+	if refused != nil {
+		return *refused
+	}
+	st, refusal := c.lookUp(ctx, id)
+	if refusal != nil {
+		return *refusal
+	}
+	c.looked(who, "view", q, "")
+	return statusResponse(200, st)
+}
+
+// lookUp reads the state of the job that a user names, or says why it can't.
+func (c *Controller) lookUp(ctx context.Context, id string) (protocol.JobStatus, *transport.Response) {
+	var refusal transport.Response
+	if !protocol.ValidID(id) {
+		refusal = refuse(404, "no such job", 0)
+		return protocol.JobStatus{}, &refusal
+	}
+	st, found, err := c.status(ctx, id)
+	switch {
+	case err != nil:
+		refusal = unavailable(err)
+	case !found:
+		refusal = refuse(404, "no such job", 0)
+	default:
+		return st, nil
+	}
+	return st, &refusal
+}
