Repeated orders hold at most a thirty-second of the sockets

Cause: orders that stop or fence where a task is cancelled are repeated each 0.5 s beside those that are held up, up to four to a machine. With most machines cut off they could have used all. Change: beside the first order to each machine, repeats may hold a thirty-second of the sockets, eight at least.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -87,6 +87,8 @@
 	following following
 	carrying  carrying
 	notices   cancellationNotices
+	// repeats counts orders under way beside earlier ones to the same machine.
+	repeats int
 	// leaving: this controller is about to end and hands over what it has.
 	leaving bool
 	// heardLeader is what the last leader told of what it was about.
--- a/internal/coordination/late_commands_test.go
+++ b/internal/coordination/late_commands_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"micaspindle/internal/bookkeeping"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/transport"
 )
@@ -155,6 +157,66 @@
 	})
 }
 
+// silentNet answers nothing.
+type silentNet struct{}
+
+func (silentNet) Do(ctx context.Context, _, _, _ string, _ []byte) (*transport.Response, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Where many machines with cancelled tasks are silent, repeated orders hold a bounded share
+// of the sockets, and none for ever.
+func TestRepeatedOrdersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, end := unrun(t)
+		defer end()
+		c.net = silentNet{}
+		loop, stop := context.WithCancel(t.Context())
+		go c.loop(loop)
+		c.do(func() {
+			_, _ = c.owning(5)
+			for i := range 100 {
+				name := fmt.Sprintf("m-%d", 100+i)
+				c.machineRecorded(name, bookkeeping.Machine{Type: "small", Zone: "a", Addr: name + ":1"}, 3, time.Now())
+				m := c.machines[name]
+				m.heard, m.fenced, m.session, m.answeredBy = true, true, 1, time.Now()
+				j := &job{spec: spec(fmt.Sprint("job-", i), 1, "red"), withdrawn: true}
+				j.own()
+				a := &attempt{job: j, number: 1, machine: m, session: 1, state: attemptSeen, stopping: true, stopAt: time.Now()}
+				j.live[0] = a
+				m.attempts[attemptKey(a.wire(), 1)] = a
+				c.sendOrders(m)
+			}
+		})
+		most, extra := 0, 0
+		for range 20 {
+			time.Sleep(200 * time.Millisecond)
+			c.do(func() {
+				extra = 0
+				for _, m := range c.machines {
+					extra += max(0, m.pendingOrders-1)
+				}
+				if extra != c.repeats {
+					t.Errorf("%d orders beside others, counted %d", extra, c.repeats)
+				}
+				most = max(most, extra)
+			})
+		}
+		c.do(func() { clear(c.machines) })
+		time.Sleep(2 * orderWait)
+		c.do(func() {
+			if c.repeats != 0 {
+				t.Errorf("%d repeats are left", c.repeats)
+			}
+		})
+		if limit := max(repeatsLeast, c.set.Params.MachineLimits.Sockets/repeatShare); most != limit {
+			t.Errorf("at most %d orders beside others, want %d", most, limit)
+		}
+		stop()
+	})
+}
+
 // answeringNet answers every message with one status.
 type answeringNet struct{ status int }
 
--- a/internal/coordination/machines.go
+++ b/internal/coordination/machines.go
@@ -96,7 +96,7 @@
 		for _, a := range m.attempts {
 			c.keepOut(a, now)
 		}
-		if m.cancelling() && now.Sub(m.orderedAt) > answerPatience {
+		if now.Sub(m.orderedAt) > answerPatience && c.mayRepeat(m) {
 			c.repeatOrders(m)
 		}
 		if m.fenced && m.pendingOrders == 0 && now.Sub(m.lastOrders) > time.Second && m.pending() {
--- a/internal/coordination/orders.go
+++ b/internal/coordination/orders.go
@@ -98,13 +98,13 @@
 		}
 	}
 	m.again = false
-	m.ordering(now)
+	c.ordering(m, now)
 	orders := protocol.Orders{Token: c.token(m), Session: m.session, Commands: cmds}
 	via, name, addr := p.ledger.Via(m.share, now), m.name, m.rec.Addr
 	c.duty.Go(func() {
 		r, sent, err := c.postOrders(via, name, addr, orders)
 		c.do(func() {
-			m.pendingOrders--
+			c.ordered(m)
 			for _, a := range starts {
 				a.inFlight--
 				if sent && r == nil {
@@ -171,10 +171,10 @@
 		return
 	}
 	// The answer to a command that is held up is not waited for where it matters.
-	if m.pendingOrders > 0 && !(m.cancelling() && m.pendingOrders < pendingOrdersMost) {
+	if m.pendingOrders > 0 && !c.mayRepeat(m) {
 		return
 	}
-	m.ordering(time.Now())
+	c.ordering(m, time.Now())
 	orders := protocol.Orders{Token: c.token(m), Session: max(m.session, m.hint, 1), Commands: []protocol.Command{}}
 	via, name, addr := c.parts[m.rec.Part].ledger.Toward(m.share, time.Now()), m.name, m.rec.Addr
 	c.duty.Go(func() {
@@ -184,7 +184,7 @@
 			r, _, err = c.postOrders(via, name, addr, orders)
 		}
 		c.do(func() {
-			m.pendingOrders--
+			c.ordered(m)
 			if err != nil {
 				c.log.Debug("fencing failed", "machine", m.name, "reason", err)
 				return
--- a/internal/coordination/tokens.go
+++ b/internal/coordination/tokens.go
@@ -25,6 +25,10 @@
 	reapPatience = 5 * time.Second
 	// pendingOrdersMost bounds the orders to a machine that wait for an answer.
 	pendingOrdersMost = 4
+	// repeatShare of the sockets, and repeatsLeast at least, may hold orders beside earlier
+	// ones to the same machine: where many machines are cut off, workers and users need them.
+	repeatShare  = 32
+	repeatsLeast = 8
 )
 
 // raiseToken wants a higher token for the machine by a moment, at the latest.
@@ -34,12 +38,29 @@
 	}
 }
 
-// ordering notes that orders are sent to the machine.
-func (m *machine) ordering(now time.Time) {
+// ordering notes that orders are sent to a machine.
+func (c *Controller) ordering(m *machine, now time.Time) {
+	if m.pendingOrders > 0 {
+		c.repeats++
+	}
 	m.pendingOrders++
 	m.orderedAt = now
 }
 
+// ordered notes that the answer to orders has come or been given up.
+func (c *Controller) ordered(m *machine) {
+	if m.pendingOrders--; m.pendingOrders > 0 {
+		c.repeats--
+	}
+}
+
+// mayRepeat says whether orders may be sent to a machine beside those that are under way:
+// a cancelled task depends on them, and there is room.
+func (c *Controller) mayRepeat(m *machine) bool {
+	most := max(repeatsLeast, c.set.Params.MachineLimits.Sockets/repeatShare)
+	return m.cancelling() && m.pendingOrders < pendingOrdersMost && c.repeats < most
+}
+
 // mayStillStart says whether a start of an attempt was sent that can come at any time.
 func (c *Controller) mayStillStart(a *attempt) bool {
 	return a.state == attemptCommitted && a.stopping && a.sentToken != 0 && a.sentToken >= c.token(a.machine)
@@ -75,11 +96,9 @@
 
 // repeatOrders sends what the machine has to do beside commands that are held up.
 func (c *Controller) repeatOrders(m *machine) {
-	switch {
-	case m.pendingOrders >= pendingOrdersMost:
-	case m.fenced:
+	if m.fenced {
 		c.sendOrdersNow(m)
-	default:
+	} else {
 		c.fence(m)
 	}
 }
