--- a/internal/coordination/command_meetings_test.go
+++ b/internal/coordination/command_meetings_test.go
@@ -135,14 +135,7 @@
 		early := <-brought
 		time.Sleep(3 * time.Second)
 		_, refused := w.bringOrders(everySecond(sent, 1))
-		for _, l := range []string{"n0", "n1", "n2"} {
-			w.mu.Lock()
-			away := w.nodes[l] == nil
-			w.mu.Unlock()
-			if away {
-				w.start(l)
-			}
-		}
+		w.startAway()
 		w.locked(func() { w.asked = nil })
 		came := map[string]int{}
 		maps.Copy(came, early.refused)
@@ -326,47 +319,17 @@
 		w.locked(func() { w.runTime = func(string, int, string) time.Duration { return 25 * time.Second } })
 		part := w.partOf("green")
 		bound := []string{"job-0", "job-1", "job-2"}
-		for i := range 9 {
-			s := spec(fmt.Sprintf("job-%d", i), 6, "green")
-			s.CPUs, s.DeadlineS = 4, 0
-			switch i % 3 {
-			case 0:
-				s.Zone = "b"
-			case 1:
-				s.OneZone = true
-			case 2:
-				s.Spread = true
-			}
-			w.submit(s)
-		}
-		hit, full := 0, false
-		for range 160 {
-			time.Sleep(250 * time.Millisecond)
-			hit = 0
-			w.locked(func() {
-				full = len(w.cloud.Machines) >= w.cloud.Capacity
-				for _, id := range bound {
-					if len(w.machinesOf(id)) > 0 && len(w.jobs[id].tasksDone) < 6 {
-						hit++
-					}
-				}
-			})
-			if hit == len(bound) && full {
-				break
-			}
-		}
-		w.locked(func() {
-			for m := range w.machinesOf(bound...) {
-				w.workers[m].Off()
-				delete(w.workers, m)
-			}
+		w.submitBound(9, 6, 4)
+		hit := w.loseMachines(bound, func() bool {
+			return len(w.cloud.Machines) >= w.cloud.Capacity &&
+				!slices.ContainsFunc(bound, func(id string) bool { return len(w.jobs[id].tasksDone) == 6 })
 		})
 		owner := w.owns(part)
 		w.kill(owner)
 		w.newOwner(part, owner)
 		w.start(owner)
-		if hit < len(bound) || !full {
-			return fmt.Errorf("%d of %d kinds of jobs lost machines, no room left %v", hit, len(bound), full)
+		if hit < len(bound) {
+			return fmt.Errorf("%d of %d kinds of jobs lost machines while no room was left", hit, len(bound))
 		}
 		return nil
 	}, over: 6 * time.Minute},
--- a/internal/coordination/meetings_table_test.go
+++ b/internal/coordination/meetings_table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -69,6 +70,54 @@
 	return ""
 }
 
+// submitBound submits jobs that are bound to a zone by name, to any one zone, or apart.
+func (w *world) submitBound(count, tasks int, cpus float64) {
+	for i := range count {
+		s := spec(fmt.Sprintf("job-%d", i), tasks, "green")
+		s.CPUs, s.DeadlineS = cpus, 0
+		switch i % 3 {
+		case 0:
+			s.Zone = "b"
+		case 1:
+			s.OneZone = true
+		case 2:
+			s.Spread = true
+		}
+		w.submit(s)
+	}
+}
+
+// loseMachines waits until all of some jobs run and something else holds, which is asked
+// with the lock held, and cuts the power of their machines. It says how many ran.
+func (w *world) loseMachines(jobs []string, holds func() bool) (hit int) {
+	ready := false
+	for range 160 {
+		time.Sleep(250 * time.Millisecond)
+		hit = 0
+		w.locked(func() {
+			for _, id := range jobs {
+				if len(w.machinesOf(id)) > 0 {
+					hit++
+				}
+			}
+			ready = hit == len(jobs) && holds()
+		})
+		if ready {
+			break
+		}
+	}
+	if !ready {
+		return 0
+	}
+	w.locked(func() {
+		for m := range w.machinesOf(jobs...) {
+			w.workers[m].Off()
+			delete(w.workers, m)
+		}
+	})
+	return hit
+}
+
 var meetingTests = []meetingTest{
 	{name: "old reports reach every controller as a new leader begins", play: func(w *world) error {
 		w.longJobs(3, 4, "green", 40*time.Second)
@@ -427,41 +476,11 @@
 	}, over: 4 * time.Minute},
 	{name: "jobs bound to one zone, arrays too, lose machines", play: func(w *world) error {
 		w.locked(func() { w.runTime = func(string, int, string) time.Duration { return 20 * time.Second } })
-		for i := range 6 {
-			s := spec(fmt.Sprintf("job-%d", i), 4, "green")
-			s.CPUs, s.DeadlineS = 2, 0
-			switch i % 3 {
-			case 0:
-				s.Zone = "b"
-			case 1:
-				s.OneZone = true
-			case 2:
-				s.Spread = true
-			}
-			w.submit(s)
-		}
+		w.submitBound(6, 4, 2)
 		// One job of each kind loses all its machines, while its tasks run.
 		bound := []string{"job-0", "job-2", "job-4"}
-		hit := 0
-		for range 80 {
-			time.Sleep(250 * time.Millisecond)
-			hit = 0
-			w.locked(func() {
-				for _, id := range bound {
-					if len(w.machinesOf(id)) > 0 && len(w.jobs[id].tasksDone) == 0 {
-						hit++
-					}
-				}
-			})
-			if hit == len(bound) {
-				break
-			}
-		}
-		w.locked(func() {
-			for m := range w.machinesOf(bound...) {
-				w.workers[m].Off()
-				delete(w.workers, m)
-			}
+		hit := w.loseMachines(bound, func() bool {
+			return !slices.ContainsFunc(bound, func(id string) bool { return len(w.jobs[id].tasksDone) > 0 })
 		})
 		if hit < len(bound) {
 			return fmt.Errorf("%d of %d kinds of jobs lost machines", hit, len(bound))
--- a/internal/coordination/settled_test.go
+++ b/internal/coordination/settled_test.go
@@ -31,6 +31,11 @@
 			wk.Hung = false
 		}
 	})
+	w.startAway()
+}
+
+// startAway starts the controllers that are away.
+func (w *world) startAway() {
 	for _, l := range []string{"n0", "n1", "n2"} {
 		w.mu.Lock()
 		away := w.nodes[l] == nil
