--- a/cmd/spindleregress/main_test.go
+++ b/cmd/spindleregress/main_test.go
@@ -89,6 +89,11 @@
 		"the bench fails":     {`echo no such fault; exit 1`, nil, func(err error) bool { return err != nil && strings.Contains(err.Error(), "no such fault") }},
 		"no report":           {`exit 0`, nil, func(err error) bool { return err != nil && !errors.Is(err, errMayNotLand) }},
 		"a day there is not":  {"", func(n *nightCmd) { n.Day = []string{"x"} }, func(err error) bool { return errors.As(err, usage) }},
+		"a file there is not": {"", func(n *nightCmd) { n.Day, n.File = nil, []string{"/nowhere.yaml"} }, func(err error) bool { return errors.As(err, usage) }},
+		"a day of a file":     {`echo '` + nightReport(5) + `' >$9`, ownDay("node_roll, every_s: 9"), func(err error) bool { return err == nil }},
+		"an unknown trouble": {"", ownDay("late_comands"), func(err error) bool {
+			return errors.As(err, usage) && strings.Contains(err.Error(), "late_commands") && strings.Contains(err.Error(), "own.yaml")
+		}},
 		"no seeds":            {"", func(n *nightCmd) { n.Seeds = 0 }, func(err error) bool { return errors.As(err, usage) }},
 		"a site that is none": {"", func(n *nightCmd) { n.Sites = []string{"bench"} }, func(err error) bool { return errors.As(err, usage) }},
 	} {
@@ -108,6 +113,18 @@
 	}
 }
 
+// ownDay has a night play a day of a file, with one fault of a kind.
+func ownDay(kind string) func(n *nightCmd) {
+	return func(n *nightCmd) {
+		file := filepath.Join(n.Kit, "own.yaml")
+		text := "name: own\nwhy: a day\nmachines: 1\narrivals: 1\nrestart_s: 1\nfaults:\n  - {at_s: 5, kind: " + kind + ", why: so}\n"
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			panic(err)
+		}
+		n.Day, n.File = nil, []string{file}
+	}
+}
+
 func TestHuntRefusesBrokenRules(t *testing.T) {
 	const site = "name = 'a'\n[nodes]\ncount = 1\n[[capacity]]\nzone = 'z'\ncount = 5\n[[teams]]\nname = 't'\n[[jobs]]\nname = 'j'\npriority = 'high'\ncpus = 4.0\narrivals = {rate = 1.0}\n"
 	usage := new(usageError)
--- a/cmd/spindleregress/night.go
+++ b/cmd/spindleregress/night.go
@@ -26,6 +26,7 @@
 	Bench string        `default:"more/hunt/bin/fleetbench" help:"The bench, below the kit."`
 	Why   string        `help:"Not kept by the bench for single days; it heads the table."`
 	Day   []string      `help:"Only these days; default: all."`
+	File  []string      `type:"path" help:"Days of your own, in the form of internal/regress/night/meetings; they are played instead."`
 	Seeds int           `default:"1" help:"How many seeds of each day."`
 	Jobs  int           `help:"Days at a time; default: as many as there are cores."`
 	Limit time.Duration `default:"20m" help:"How long all of it may take."`
@@ -69,8 +70,13 @@
 	return n.run(ctx, c, days)
 }
 
-// pick are the wanted ones of the days that there are.
+// pick are the wanted ones of the days that there are, or those of files.
 func (n *dayFlags) pick(days []night.Day, err error) ([]night.Day, error) {
+	if err == nil && len(n.File) > 0 {
+		if days, err = readDays(n.File); err != nil {
+			return nil, usageError{err}
+		}
+	}
 	if err != nil || len(n.Day) == 0 {
 		return days, err
 	}
@@ -86,6 +92,23 @@
 	return slices.DeleteFunc(days, func(d night.Day) bool { return !slices.Contains(n.Day, d.Name) }), nil
 }
 
+// readDays reads days from files.
+func readDays(files []string) ([]night.Day, error) {
+	var days []night.Day
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return nil, fmt.Errorf("--file: %w", err)
+		}
+		day, err := night.Parse(data)
+		if err != nil {
+			return nil, fmt.Errorf("--file: %s: %w", file, err)
+		}
+		days = append(days, day)
+	}
+	return days, nil
+}
+
 // run plays and judges days.
 func (n *dayFlags) run(ctx context.Context, c *cli, days []night.Day) error {
 	if n.Seeds < 1 || n.Jobs < 0 || n.Limit <= 0 {
--- a/internal/regress/night/site.go
+++ b/internal/regress/night/site.go
@@ -246,7 +246,7 @@
 		if f.ForNext {
 			out["for_next"] = true
 		}
-	case "machine_deaf", "machine_mute", "cancel_at_end":
+	case "machine_deaf", "machine_mute", "cancel_at_end", "late_commands":
 		out["share"] = f.Share
 	case "cancel_now":
 		out["count"] = int64(f.Jobs)
--- a/internal/regress/night/verdict.go
+++ b/internal/regress/night/verdict.go
@@ -80,6 +80,12 @@
 		Jobs    int `json:"jobs"`
 		Started int `json:"started"`
 	} `json:"largest"`
+	// Idle counts jobs that waited though there was room, and what no rule forbids yet no
+	// user should see: starts after a confirmed cancellation, jobs accepted that can't run.
+	Idle struct {
+		Neglected int            `json:"neglected"`
+		Slips     map[string]any `json:"slips"`
+	} `json:"idle"`
 	Fleet struct {
 		Useful float64 `json:"useful"`
 	} `json:"fleet"`
@@ -118,6 +124,12 @@
 	if *w.Rules.Total > 0 {
 		fail("%d broken rules: %v", *w.Rules.Total, w.Rules.Kinds)
 	}
+	if w.Idle.Neglected > 0 {
+		fail("%d jobs waited though a machine had room", w.Idle.Neglected)
+	}
+	if len(w.Idle.Slips) > 0 {
+		fail("counted beside the rules: %v", w.Idle.Slips)
+	}
 	for _, low := range []*Lowest{&r.Started, &r.Done, &r.Told, &r.Team, &r.Largest, &r.InTime} {
 		*low = Lowest{Share: 2}
 	}
