agents: Forget an attempt only under a token that keeps copies of its start out

Token and epoch still matched, the agent no longer knew the attempt and started it beside the attempt that had replaced it.

Cause: an assumption on the network that the protocol does not give, that an answered message is over. Rule 9 held a forget back only while an unanswered start could come.

Fix: a forget bears a token above that of each direct start of the attempt that was not certainly refused. Tokens are raised for a whole partition by one change of a new record (w/f/N), at most one in 5 s; heartbeats are reconciled from the token on that fences former leaders, so that a raise takes no machine out of use. A controller whose summaries do not say that it counts token records gets no shards: it would answer agents with tokens that are too low.

Evidence: the simulated cluster can now copy messages that were carried out and answered. Rules 9, 50, 51, 53 and 55 of docs/design.md have the argument.

--- a/internal/coordination/agents/command_delivery.go
+++ b/internal/coordination/agents/command_delivery.go
@@ -48,7 +48,7 @@
 	a.loop.Go(func() {
 		heartbeat, sent, err := a.PostCommands(delegate, name, addr, batch)
 		a.loop.Do(func() {
-			recordStartsAnswered(starts, sent && heartbeat == nil)
+			recordStartsAnswered(starts, sent)
 			a.applyCommandAnswer(machine, heartbeat, err)
 		})
 	})
@@ -67,14 +67,12 @@
 	return starts
 }
 
-// recordStartsAnswered records that a request with starts is no longer in flight. If it was not
-// answered, the starts may still arrive.
-func recordStartsAnswered(starts []*cluster.Attempt, unanswered bool) {
+// recordStartsAnswered records that a request with starts is no longer in flight. sent is false if
+// the request was certainly refused or can never arrive.
+func recordStartsAnswered(starts []*cluster.Attempt, sent bool) {
 	for _, attempt := range starts {
 		attempt.StartsInFlight--
-		if unanswered {
-			attempt.StartUnanswered = true
-		}
+		attempt.StartMayRepeat = attempt.StartMayRepeat || sent
 	}
 }
 
--- a/internal/coordination/agents/commands.go
+++ b/internal/coordination/agents/commands.go
@@ -29,6 +29,9 @@
 	}
 	token := a.Token(machine)
 	for _, attempt := range machine.SortedAttempts() {
+		if a.awaitsHigherToken(attempt, token, now) {
+			continue
+		}
 		if op, graceS := opForAttempt(attempt, token, now, forHeartbeat); op != "" {
 			commands = append(commands, protocol.Command{Op: op, Task: attempt.TaskName(), Attempt: attempt.Number, GraceS: graceS})
 		}
@@ -56,11 +59,6 @@
 		}
 		return protocol.OpStop, attempt.StopGraceS
 	case attempt.State == cluster.AttemptReleased && attempt.StartsInFlight == 0:
-		if attempt.StartUnanswered && attempt.StartToken >= token {
-			// A start that was not answered may still arrive (rule 9).
-			attempt.Machine.RaiseTokenBy(now.Add(forgetDelay))
-			return "", 0
-		}
 		return protocol.OpForget, 0
 	}
 	return "", 0
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -134,7 +134,7 @@
 	a.recordReporting(machine, heartbeat, now)
 	a.applyEpoch(machine, heartbeat, now)
 	a.applyPreemptionNotice(machine, heartbeat, now)
-	if heartbeat.Token != a.Token(machine) {
+	if heartbeat.Token < a.FencingToken(machine) || heartbeat.Token > a.Token(machine) {
 		a.Fence(machine)
 		return
 	}
@@ -147,7 +147,7 @@
 	if !machine.PreemptionAt.IsZero() {
 		a.evacuate(machine, now)
 	}
-	if len(machine.Attempts) > 0 || len(machine.OrphanedTasks) > 0 {
+	if machine.HasUnreleasedAttempt() || len(machine.OrphanedTasks) > 0 {
 		machine.IdleSince = now
 	}
 }
--- a/internal/coordination/agents/tokens.go
+++ b/internal/coordination/agents/tokens.go
@@ -8,10 +8,11 @@
 	"micaspindle/internal/coordination/cluster"
 )
 
-// A command that was not answered may be executed at any later time, until the machine's agent has
-// received a higher fencing token (rule 50). To prevent a start from being executed late, the
-// machine's token is raised: the machine record is written again, and the new token is sent to the
-// agent.
+// A command that was sent may be executed again at any later time, whether it was answered or not,
+// until the machine's agent has received a higher fencing token (rule 50). While the agent knows the
+// attempt, a copy of its start has no effect. So the token of one machine is raised before an
+// unanswered start of a stopped attempt can arrive, and the tokens of the whole partition before
+// ended attempts are forgotten.
 
 const (
 	// CommandAnswerWait is the time after which an unanswered command to a machine with a task
@@ -21,9 +22,9 @@
 	// stopAnswerWait is the time from the request of a stop until the token is raised, if the
 	// request with the start has failed but the start may still arrive.
 	stopAnswerWait = time.Second
-	// forgetDelay is the delay of a token raise for a released attempt whose start may still
-	// arrive. The agent may forget the attempt only after the raise. One delayed raise serves
-	// many attempts, which meanwhile use neither resources nor quota.
+	// forgetDelay is the delay of the token record that lets agents forget a released attempt.
+	// One record serves all attempts of a partition that were released before, which meanwhile
+	// use neither resources nor quota.
 	forgetDelay = 5 * time.Second
 	// commandRequestsInFlightLimit is the maximum number of requests in flight to one machine.
 	commandRequestsInFlightLimit = 4
@@ -61,11 +62,22 @@
 	return machine.HasCancelledTask() && machine.CommandRequestsInFlight < commandRequestsInFlightLimit && a.RepeatedCommands < limit
 }
 
+// awaitsHigherToken reports whether a released attempt must not be forgotten under the machine's
+// present token, because a copy of its start could then run it again. If so, it requests a higher
+// token (rule 9).
+func (a *Agents) awaitsHigherToken(attempt *cluster.Attempt, token uint64, now time.Time) bool {
+	if attempt.State != cluster.AttemptReleased || !attempt.MayStartAgain(token) {
+		return false
+	}
+	a.Partitions[attempt.Machine.Record.Partition].RaiseTokensBy(now.Add(forgetDelay))
+	return true
+}
+
 // startMayStillArrive reports whether a start was sent for an attempt that is being stopped, and
 // the agent may still accept it.
 func (a *Agents) startMayStillArrive(attempt *cluster.Attempt) bool {
 	return attempt.State == cluster.AttemptCommitted && attempt.Stopping && attempt.StartToken != 0 &&
-		attempt.StartToken >= a.Token(attempt.Machine)
+		attempt.StartToken >= a.FencingToken(attempt.Machine)
 }
 
 // fencePendingStart requests a higher fencing token if a start of an attempt that is being stopped
--- a/internal/coordination/cluster/attempt.go
+++ b/internal/coordination/cluster/attempt.go
@@ -51,10 +51,10 @@
 	StartSentAt time.Time
 	// StartsInFlight is the number of requests in flight with the start command.
 	StartsInFlight int
-	// StartUnanswered is set if a start command was sent and may or may not have
-	// arrived. The command may still arrive, so the agent must not forget the attempt
-	// while StartToken is the machine's token (rule 9).
-	StartUnanswered bool
+	// StartMayRepeat is set if a request with the start command was sent and not refused,
+	// whether it was answered or not. A copy of the request may arrive at any later time
+	// (rule 50).
+	StartMayRepeat bool
 
 	// The stop command.
 
@@ -100,6 +100,12 @@
 // Live reports whether the attempt may be running on its machine, or may still start there.
 func (a *Attempt) Live() bool { return a.State < AttemptExited }
 
+// MayStartAgain reports whether an agent that has forgotten the attempt would execute a copy of its
+// start, given the highest token that the agent has certainly received.
+func (a *Attempt) MayStartAgain(token uint64) bool {
+	return a.StartMayRepeat && a.StartToken >= token
+}
+
 // maxDecimalDigits is the number of decimal digits of the largest uint64.
 const maxDecimalDigits = 20
 
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -75,7 +75,7 @@
 
 	// The fencing token.
 
-	// TokenConfirmed is set once a heartbeat with the present fencing token was received.
+	// TokenConfirmed is set once a heartbeat with at least the State.FencingToken was received.
 	TokenConfirmed bool
 	// TokenRaiseBy is the time by which the machine's token must be raised; zero if no
 	// raise is needed.
@@ -168,10 +168,16 @@
 	m.RecountUsed()
 }
 
-// Token returns the fencing token for commands to the machine's agent. Both revisions come
-// from the single counter of the state store, so a takeover and a move each raise the
-// token.
+// Token returns the fencing token for commands to the machine's agent. All revisions come from the
+// single counter of the state store, so a takeover, a move and a token record each raise the token.
 func (s *State) Token(m *Machine) uint64 {
+	return max(s.FencingToken(m), s.Partitions[m.Record.Partition].RaisedToken())
+}
+
+// FencingToken returns the lowest token with which the agent obeys no former leader of the machine
+// and accepts no command from before the last write of the machine's record. Heartbeats with this
+// or a higher token may be reconciled, although the present token may be higher still (rule 55).
+func (s *State) FencingToken(m *Machine) uint64 {
 	return max(s.Partitions[m.Record.Partition].LeaseRevision, m.Revision)
 }
 
@@ -274,6 +280,17 @@
 	return false
 }
 
+// HasUnreleasedAttempt reports whether an attempt on the machine may be running or its end is not
+// committed yet. Released attempts only wait to be forgotten.
+func (m *Machine) HasUnreleasedAttempt() bool {
+	for _, a := range m.Attempts {
+		if a.State != AttemptReleased {
+			return true
+		}
+	}
+	return false
+}
+
 // NeedsCommands reports whether there may be commands for the machine. The check is cheap,
 // since most heartbeats change nothing.
 func (m *Machine) NeedsCommands() bool {
--- a/internal/coordination/cluster/partition.go
+++ b/internal/coordination/cluster/partition.go
@@ -31,6 +31,8 @@
 	// LeaseRevision is the revision of the lease's record in the state store, or 0 if there
 	// is none.
 	LeaseRevision uint64
+	// TokenRecord is the partition's token record.
+	TokenRecord TokenRecord
 	// VacantSince is the time since which the partition has had no leader.
 	VacantSince time.Time
 	// FormerLeaders are earlier leaders that may still answer agents' heartbeats.
@@ -55,6 +57,12 @@
 	// HasUnconfirmedChunk is set if the last write of a run record was not answered.
 	HasUnconfirmedChunk bool
 
+	// TokenRaiseBy is the time by which the token record must be written again; zero if no
+	// write is needed.
+	TokenRaiseBy time.Time
+	// TokenRaisedAt is the revision of the last token record that this controller wrote.
+	TokenRaisedAt uint64
+
 	// Scheduling, on the leader.
 
 	// Usage is the resource usage of the live attempts, by team index.
@@ -88,6 +96,29 @@
 	DelegatedUntil time.Time
 }
 
+// TokenRecord is a token record as read from the state store. It raises the fencing tokens of the
+// partition's machines to Revision while the partition lease has the revision LeaseRevision.
+type TokenRecord struct {
+	Revision, LeaseRevision uint64
+}
+
+// RaisedToken returns the token to which the token record raises the partition's machines, or 0 if
+// the record was written under another lease.
+func (p *Partition) RaisedToken() uint64 {
+	if p.TokenRecord.LeaseRevision != p.LeaseRevision {
+		return 0
+	}
+	return p.TokenRecord.Revision
+}
+
+// RaiseTokensBy requests that the tokens of the partition's machines be raised, at the latest at a
+// given time.
+func (p *Partition) RaiseTokensBy(by time.Time) {
+	if p.TokenRaiseBy.IsZero() || by.Before(p.TokenRaiseBy) {
+		p.TokenRaiseBy = by
+	}
+}
+
 // QueueOrderTTL is the time for which a computed QueueOrder is used.
 const QueueOrderTTL = 200 * time.Millisecond
 
--- a/internal/coordination/commit/batch.go
+++ b/internal/coordination/commit/batch.go
@@ -17,6 +17,12 @@
 	// leaseExpirySlack is the time for which batches are still sent after the lease should have
 	// expired, counted from its last confirmed renewal.
 	leaseExpirySlack = 10 * time.Second
+	// tokenRecordPatience is the time for which a token record that is due waits for space in a
+	// batch.
+	tokenRecordPatience = 5 * time.Second
+	// tokenRecordRetryDelay is the time until a token record is written again if the write was
+	// not answered or the record had changed. The watch delivers the present record meanwhile.
+	tokenRecordRetryDelay = 2 * time.Second
 	// batchBytesLimit is the size in bytes above which no run record is added to a batch.
 	batchBytesLimit = 40 << 10
 	// deletionBytes is the assumed size in bytes of a deletion in a batch.
@@ -33,7 +39,9 @@
 	chunks      []chunkWrite
 	completions []*cluster.Job
 	tokenRaises []*cluster.Machine
-	starts      []*cluster.Attempt
+	// raisesTokens is set if the batch writes the partition's token record.
+	raisesTokens bool
+	starts       []*cluster.Attempt
 	// cancellations are the jobs that the batch cancels. A batch with cancellations contains
 	// nothing else.
 	cancellations []*cluster.Job
@@ -99,8 +107,9 @@
 }
 
 // prepareBatch places waiting tasks and collects the changes that are due to be written. It returns
-// nil if there are none. Token raises may use up to half of the batch, and the space that the
-// records leave.
+// nil if there are none. Token raises of single machines may use up to half of the batch, and the
+// space that the records leave. The token record, which nobody waits for, uses that space, and goes
+// ahead of the records only if it is long overdue.
 func (c *Committer) prepareBatch(partition *cluster.Partition, now time.Time) *batch {
 	if !c.mayCommit(partition, now) {
 		return nil
@@ -110,10 +119,14 @@
 	if c.addCancellations(b, partition, now, opsLimit); len(b.cancellations) > 0 {
 		return b
 	}
+	if !partition.TokenRaiseBy.IsZero() && now.Sub(partition.TokenRaiseBy) > tokenRecordPatience {
+		addTokenRecord(b, partition, now, opsLimit)
+	}
 	remaining := addTokenRaises(b, c.agents.MachinesDueForNewToken(partition, now), now, opsLimit/2)
 	c.scheduler.Place(partition, now)
 	c.scheduler.Preempt(partition, now)
 	c.addRecords(b, partition, now, opsLimit)
+	addTokenRecord(b, partition, now, opsLimit)
 	addTokenRaises(b, remaining, now, opsLimit)
 	if len(b.txn.Then) == 0 {
 		return nil
@@ -157,6 +170,18 @@
 	return nil
 }
 
+// addTokenRecord adds the write of the partition's token record if it is due and not in the batch
+// yet. While the watch has not delivered the previous record, its revision is unknown here, so the
+// next one waits.
+func addTokenRecord(b *batch, partition *cluster.Partition, now time.Time, opsLimit int) {
+	due := !partition.TokenRaiseBy.IsZero() && !partition.TokenRaiseBy.After(now)
+	if !due || b.raisesTokens || len(b.txn.Then) >= opsLimit || partition.TokenRaisedAt > partition.TokenRecord.Revision {
+		return
+	}
+	b.put(storage.TokenKey(partition.Index), partition.TokenRecord.Revision, storage.Token{LeaseRevision: partition.LeaseRevision})
+	b.raisesTokens = true
+}
+
 // addRecords adds the completions of jobs and the run records that are due to be written.
 func (c *Committer) addRecords(b *batch, partition *cluster.Partition, now time.Time, opsLimit int) {
 	bytes := 0
--- a/internal/coordination/commit/committer.go
+++ b/internal/coordination/commit/committer.go
@@ -139,6 +139,11 @@
 		b.chunks[i].recordCommitted(revision, now)
 	}
 	c.sendStarts(b.starts, now)
+	if b.raisesTokens {
+		partition.TokenRaisedAt = revision
+		c.metrics.Count(telemetry.PartitionTokenRaised, 1)
+	}
+	c.metrics.Count(telemetry.MachineTokenRaised, len(b.tokenRaises))
 	for _, machine := range b.tokenRaises {
 		if c.Machines[machine.Name] == machine {
 			c.agents.ApplyMachineRecord(machine.Name, machine.Record, revision, now)
--- a/internal/coordination/commit/failures.go
+++ b/internal/coordination/commit/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"micaspindle/internal/coordination/cluster"
 	"micaspindle/internal/storage"
@@ -46,6 +47,8 @@
 			c.loop.Go(func() { c.readFinal(id) })
 		case storage.KindMachine:
 			// The watch delivers the newer record.
+		case storage.KindToken:
+			partition.TokenRaiseBy = time.Now().Add(tokenRecordRetryDelay)
 		default:
 			b.markUnconfirmed(partition, key)
 		}
--- a/internal/coordination/commit/unanswered.go
+++ b/internal/coordination/commit/unanswered.go
@@ -25,6 +25,9 @@
 	for _, write := range b.chunks {
 		write.chunk.Unconfirmed, partition.HasUnconfirmedChunk = true, true
 	}
+	if b.raisesTokens {
+		partition.TokenRaiseBy = time.Now().Add(tokenRecordRetryDelay)
+	}
 	for _, machine := range b.tokenRaises {
 		// If the record was written, the watch or the next heartbeat delivers the new
 		// token.
--- a/internal/coordination/delegation_faults_test.go
+++ b/internal/coordination/delegation_faults_test.go
@@ -279,6 +279,27 @@
 	})
 }
 
+// A controller that ignores token records would answer agents with tokens that are too low, so that
+// their leases would expire. It is no delegate, and the other controllers remain delegates.
+func TestControllersWithoutTokenRecordsAreNoDelegates(t *testing.T) {
+	t.Parallel()
+	runConfiguredSimulation(t, 751, configureFewSockets, func(sim *simulatedCluster) {
+		partition := sim.startDelegation(9)
+		leader := sim.leaderOf(partition)
+		others := sim.otherControllers(leader)
+		delegated := func(label string) (shards int) {
+			sim.onController(leader, func(c *Controller) { shards = len(c.Partitions[partition].Delegations.ShardsOf(label)) })
+			return shards
+		}
+		sim.withLock(func() { sim.controllersWithoutTokenRecords = map[string]bool{others[0]: true} })
+		time.Sleep(15 * time.Second)
+		if old, current := delegated(others[0]), delegated(others[1]); old > 0 || current == 0 {
+			t.Errorf("%d shards are delegated to the controller that ignores token records and %d to the other one, want none and at least one", old, current)
+		}
+		sim.waitForAllJobs(4 * time.Minute)
+	})
+}
+
 // If controllers have few sockets, so that shards are delegated and move often, random failovers
 // violate no safety rule, and all jobs end.
 func TestRandomFailoversWithDelegation(t *testing.T) {
--- a/internal/coordination/fault_injection_test.go
+++ b/internal/coordination/fault_injection_test.go
@@ -28,6 +28,10 @@
 	keptHeartbeats          []keptHeartbeat
 	// delayedCommands, if set, delays direct commands.
 	delayedCommands *commandDelayFault
+	// copiedCommands, if set, delivers copies of direct commands that were carried out.
+	copiedCommands *commandCopyFault
+	// refuseStart, if set, returns the cause with which an agent refuses a start, or "".
+	refuseStart func(command protocol.Command) (cause string)
 	// startsAfterCancel are the tasks that started after the user had received confirmation of
 	// their job's cancellation.
 	startsAfterCancel []startAfterCancel
@@ -129,8 +133,9 @@
 }
 
 // deliverCommandLate delivers commands after a delay, without returning the response to the
-// sender. An agent that hangs receives them when it resumes.
-func (sim *simulatedCluster) deliverCommandLate(machine string, delay time.Duration, body []byte) {
+// sender. An agent that hangs receives them when it resumes. The operations are counted as
+// fault events that begin with the word event.
+func (sim *simulatedCluster) deliverCommandLate(machine string, delay time.Duration, body []byte, event string) {
 	for wait := delay; ; wait = 100 * time.Millisecond {
 		select {
 		case <-time.After(wait):
@@ -151,9 +156,9 @@
 		sim.withLock(func() {
 			for op := range commandOps(body) {
 				if resp != nil && resp.Status == 200 {
-					sim.countFault("late " + op + " applied")
+					sim.countFault(event + " " + op + " applied")
 				} else {
-					sim.countFault("late " + op + " refused")
+					sim.countFault(event + " " + op + " refused")
 				}
 			}
 		})
--- a/internal/coordination/lease/acquisition.go
+++ b/internal/coordination/lease/acquisition.go
@@ -97,6 +97,7 @@
 		return
 	}
 	h.StopLeading(p, reasonLeaseReplaced)
+	p.TokenRaiseBy = time.Time{}
 	p.Leader, p.LeaderNonce, p.LeaseRevision = record.Holder, record.Nonce, e.Version
 	if record.Holder == h.Settings.Label && record.Nonce == h.Nonce {
 		p.Held, p.Ready, p.AcquiredAt = true, false, now
--- a/internal/coordination/liveness_check_test.go
+++ b/internal/coordination/liveness_check_test.go
@@ -27,6 +27,7 @@
 		sim.state.RefusedClients, sim.state.WatchesStuck = nil, false
 		sim.dropsMessage, sim.cuts, sim.onRequest, sim.onResponse, sim.interceptCommands = nil, networkCuts{}, nil, nil, nil
 		sim.messageFaultRate, sim.lateTransactionRate, sim.duplicatedHeartbeatRate, sim.delayedCommands, sim.linkDelayMax = 0, 0, 0, nil, 0
+		sim.copiedCommands, sim.refuseStart = nil, nil
 		sim.inboundLost, sim.outboundLost, sim.suppressNotices, sim.cancelAtEnd = nil, nil, false, nil
 		for _, agent := range sim.agents {
 			agent.Hung = false
--- a/internal/coordination/peering/summary.go
+++ b/internal/coordination/peering/summary.go
@@ -20,6 +20,7 @@
 		Replicas:      e.replicator.ReplicaStatuses(),
 		Draining:      e.Draining,
 		Replicates:    true,
+		TokenRecords:  true,
 		Cancelled:     e.Cancellations.Recent(now, e.CancelBound),
 		Capacity:      uint32(load.Capacity),
 		Connected:     uint32(load.Machines),
--- a/internal/coordination/proxy/rebalancing.go
+++ b/internal/coordination/proxy/rebalancing.go
@@ -135,7 +135,7 @@
 		view.Peers = append(view.Peers, delegation.Peer{
 			Label:     label,
 			Load:      delegation.Load{Machines: int(summary.Connected), Capacity: int(summary.Capacity)},
-			Available: other.Alive(now) && summary.Capacity > 0 && !summary.Draining,
+			Available: other.Alive(now) && summary.Capacity > 0 && summary.TokenRecords && !summary.Draining,
 			Settled:   now.Sub(other.AliveSince) >= delegateSettleTime && summary.StateSilenceS < stateSilenceLimitS,
 		})
 	}
--- a/internal/coordination/records/apply.go
+++ b/internal/coordination/records/apply.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
+	"micaspindle/internal/coordination/cluster"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/storage"
 )
@@ -101,6 +103,10 @@
 		w.applyLease(key, event, now)
 	case storage.KindLeadership:
 		w.autoscaler.ApplyLeadership(event, now)
+	case storage.KindToken:
+		if !deleted {
+			w.applyToken(name, event)
+		}
 	case storage.KindMachine:
 		w.applyMachine(name, event, now)
 	case storage.KindJob:
@@ -131,6 +137,32 @@
 	}
 }
 
+// applyToken applies a change of a partition's token record.
+func (w *Watcher) applyToken(name string, event protocol.Event) {
+	index, err := strconv.Atoi(name)
+	if err == nil && (index < 0 || index >= len(w.Partitions)) {
+		err = fmt.Errorf("partition %d does not exist", index)
+	}
+	var record storage.Token
+	if err == nil {
+		err = storage.Decode(event.Value, &record)
+	}
+	if err != nil {
+		w.log.Error("invalid token record", "key", event.Put, "error", err)
+		return
+	}
+	partition := w.Partitions[index]
+	if event.Version <= partition.TokenRecord.Revision {
+		return
+	}
+	partition.TokenRecord = cluster.TokenRecord{Revision: event.Version, LeaseRevision: record.LeaseRevision}
+	if partition.Held && partition.RaisedToken() != 0 {
+		// All starts sent so far bear lower tokens, so this record serves every request.
+		partition.TokenRaiseBy = time.Time{}
+		w.log.Info("tokens raised", "partition", index, "token", partition.RaisedToken())
+	}
+}
+
 // applyMachine applies a change of a machine's record. A deletion that is older than the current
 // record is ignored.
 func (w *Watcher) applyMachine(name string, event protocol.Event, now time.Time) {
--- a/internal/coordination/simulated_agents_test.go
+++ b/internal/coordination/simulated_agents_test.go
@@ -34,6 +34,12 @@
 		agent := agent.New(&sim.mu, sim, sim)
 		agent.Name, agent.Addr, agent.Type, agent.Zone, agent.Spot = name, m.Addr, m.Type, m.Zone, m.Spot
 		agent.LeaseDuration = settings.Seconds(sim.settings.Params.AgentTimes.LeaseS)
+		agent.Refuse = func(command protocol.Command) string {
+			if sim.refuseStart == nil {
+				return ""
+			}
+			return sim.refuseStart(command)
+		}
 		agent.Controllers, agent.ControllerIndex = []string{"n0", "n1", "n2"}, home
 		agent.Send = func(label string, heartbeat []byte) (int, []byte) { return sim.sendHeartbeat(name, label, heartbeat) }
 		m.Up = true
--- a/internal/coordination/simulated_cluster_test.go
+++ b/internal/coordination/simulated_cluster_test.go
@@ -53,6 +53,9 @@
 	// controllersOfOldVersion are the controllers that run a version without replication and
 	// delegation.
 	controllersOfOldVersion map[string]bool
+	// controllersWithoutTokenRecords are the controllers that run a version that ignores token
+	// records.
+	controllersWithoutTokenRecords map[string]bool
 	// onResponse is called with each response that a controller receives, and may drop it.
 	onResponse func(from, host, target string, body []byte, resp *transport.Response) (lost bool)
 	// identities, if set, makes the controllers authenticate their callers.
--- a/internal/coordination/simulated_network_test.go
+++ b/internal/coordination/simulated_network_test.go
@@ -39,7 +39,7 @@
 	}
 	if faults.commandLate {
 		sim.withLock(func() { sim.countFault("delayed from " + sender) })
-		sim.group.Go(func() { sim.deliverCommandLate(host, faults.commandDelay, body) })
+		sim.group.Go(func() { sim.deliverCommandLate(host, faults.commandDelay, body, "late") })
 		return lostMessage(ctx, "command delayed")
 	}
 	if faults.onRequest != nil && faults.onRequest(sender, host, target, body) || faults.cut {
@@ -137,7 +137,11 @@
 	case receiver != nil:
 		return sim.deliverToController(ctx, from, receiver, method, path, body)
 	case agent != nil:
-		return sim.deliverToAgent(agent, path, body)
+		resp := sim.deliverToAgent(agent, path, body)
+		if path == "/orders" && resp != nil && resp.Status == 200 {
+			sim.copyCommands(host, body)
+		}
+		return resp
 	}
 	return nil
 }
@@ -147,6 +151,7 @@
 	sim.mu.Lock()
 	fromOldVersion, toOldVersion := sim.controllersOfOldVersion[from], sim.controllersOfOldVersion[receiver.label]
 	suppressNotices, alterUpdate := sim.suppressNotices, sim.alterReplicaUpdate
+	withoutTokenRecords := sim.controllersWithoutTokenRecords[from]
 	sim.mu.Unlock()
 	if (fromOldVersion || toOldVersion) && slices.Contains(pathsOfNewVersions, path) {
 		return &transport.Response{Status: 404}
@@ -154,6 +159,9 @@
 	if fromOldVersion {
 		body = downgradeSummary(path, body)
 	}
+	if withoutTokenRecords && path == peering.SummaryPath {
+		body = withoutTokenRecordSupport(body)
+	}
 	if suppressNotices && path == peering.SummaryPath {
 		body = stripCancellationNotices(body)
 	}
@@ -241,7 +249,7 @@
 	}
 	sum := new(peer.Summary)
 	panicOnError(proto.Unmarshal(body, sum))
-	sum.Replicas, sum.Draining, sum.Replicates, sum.Capacity, sum.Connected, sum.Cancelled = nil, false, false, 0, 0, nil
+	sum.Replicas, sum.Draining, sum.Replicates, sum.Capacity, sum.Connected, sum.Cancelled, sum.TokenRecords = nil, false, false, 0, 0, nil, false
 	for _, p := range sum.Partitions {
 		p.Standby, p.Delegated = "", nil
 	}
@@ -250,6 +258,17 @@
 	return body
 }
 
+// withoutTokenRecordSupport returns a summary as a controller that ignores token records would send
+// it.
+func withoutTokenRecordSupport(body []byte) []byte {
+	sum := new(peer.Summary)
+	panicOnError(proto.Unmarshal(body, sum))
+	sum.TokenRecords = false
+	body, err := proto.Marshal(sum)
+	panicOnError(err)
+	return body
+}
+
 // stripCancellationNotices returns a summary without its cancellation notices.
 func stripCancellationNotices(body []byte) []byte {
 	sum := new(peer.Summary)
--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -52,6 +52,10 @@
 	// called. If it returns nil, the agent only simulates the task's run time.
 	Exec func(t *Task) (stop func())
 
+	// Refuse, if set, is called with the lock held for each start, and returns the cause for
+	// which the agent refuses it, or "" if the agent accepts it.
+	Refuse func(command protocol.Command) (cause string)
+
 	PoweredOff bool
 	// Hung means that the machine does not respond and makes no progress.
 	Hung     bool
--- a/internal/fake/agent/commands.go
+++ b/internal/fake/agent/commands.go
@@ -41,6 +41,11 @@
 	if !ok {
 		t.State, t.Cause = protocol.TaskEnded, protocol.CauseUnknownTask
 	}
+	if a.Refuse != nil {
+		if cause := a.Refuse(command); cause != "" {
+			t.State, t.Cause = protocol.TaskEnded, cause
+		}
+	}
 	for _, other := range a.Tasks {
 		if other.Name == command.Task && other.State != protocol.TaskEnded {
 			t.State, t.Cause = protocol.TaskEnded, protocol.CauseTaskInUse
--- a/internal/storage/golden_test.go
+++ b/internal/storage/golden_test.go
@@ -29,6 +29,7 @@
 		"claim":       golden.Fill(&storage.Lease{}), // of a partition and of the cluster leader
 		"life":        golden.Fill(&storage.Incarnation{}),
 		"machine":     golden.Fill(&storage.Machine{}),
+		"token":       golden.Fill(&storage.Token{}),
 		"catalog":     golden.Fill(&protocol.Catalog{}),
 		"policy-head": golden.Fill(&storage.PolicyHead{}),
 		"role":        golden.Fill(&rights.Role{}),
@@ -47,6 +48,7 @@
 	}{
 		{"claim", storage.LeaseKey(12), "w/c/12", storage.KindLease, "12"},
 		{"leader", storage.LeadershipKey, "w/c/leader", storage.KindLeadership, ""},
+		{"token", storage.TokenKey(12), "w/f/12", storage.KindToken, "12"},
 		{"machine", storage.MachineKey("m-000231"), "w/m/m-000231", storage.KindMachine, "m-000231"},
 		{"job", storage.JobKey("job-000412"), "w/j/job-000412/spec", storage.KindJob, "job-000412"},
 		{"final", storage.FinalKey("job-000412"), "w/j/job-000412/final", storage.KindFinal, "job-000412"},
--- a/internal/storage/keys.go
+++ b/internal/storage/keys.go
@@ -10,8 +10,11 @@
 // needs a single watch. Keys that only a partition's leader and its replicas read have other
 // prefixes.
 const (
-	WatchPrefix       = "w/"
-	leasePrefix       = "w/c/"
+	WatchPrefix = "w/"
+	leasePrefix = "w/c/"
+	// The key of a token record precedes those of machine records, so that a listing never
+	// holds a token record that is newer than its machine records (rule 55).
+	tokenPrefix       = "w/f/"
 	machinePrefix     = "w/m/"
 	jobPrefix         = "w/j/"
 	incarnationPrefix = "w/l/"
@@ -47,11 +50,15 @@
 	KindRole
 	KindIdentity
 	KindIncarnation
+	KindToken
 )
 
 // LeaseKey returns the key of a partition's lease.
 func LeaseKey(partition int) string { return leasePrefix + strconv.Itoa(partition) }
 
+// TokenKey returns the key of a partition's token record.
+func TokenKey(partition int) string { return tokenPrefix + strconv.Itoa(partition) }
+
 // MachineKey returns the key of a machine's assignment record.
 func MachineKey(name string) string { return machinePrefix + name }
 
@@ -99,6 +106,8 @@
 		return KindIncarnation, key[len(incarnationPrefix):]
 	case strings.HasPrefix(key, leasePrefix):
 		return KindLease, key[len(leasePrefix):]
+	case strings.HasPrefix(key, tokenPrefix):
+		return KindToken, key[len(tokenPrefix):]
 	case strings.HasPrefix(key, machinePrefix):
 		return KindMachine, key[len(machinePrefix):]
 	case strings.HasPrefix(key, jobPrefix):
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -34,6 +34,14 @@
 	Nonce string `msgpack:"n"`
 }
 
+// Token raises the fencing tokens of a partition's machines to the revision of its key. The key is
+// never deleted.
+type Token struct {
+	// LeaseRevision is the revision of the partition lease under which the record was written.
+	// The record counts only under that lease.
+	LeaseRevision uint64 `msgpack:"c"`
+}
+
 // Machine records a machine and the partition that it is assigned to.
 type Machine struct {
 	Partition int    `msgpack:"p"`
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -20,13 +20,16 @@
 	ReplicaDiffers                     // replicas that differed from the state store
 	PartitionHandedOver                // partitions handed over at a planned shutdown
 	ShardMoved                         // shards that moved to another controller
+	MachineTokenRaised                 // writes of machine records that raised the machine's token
+	PartitionTokenRaised               // writes of token records, which raised the tokens of a partition's machines
 	eventCount
 )
 
 // eventNames are the names of the counters without prefix and suffix.
 var eventNames = [eventCount]string{"requests_refused", "jobs_late", "attempts_failed", "attempts_stopped", "machines_lost", "machines_asked",
 	"rentals_refused", "commits_conflicting", "commits_unanswered", "leases_ended",
-	"takeovers_warm", "takeovers_cold", "copies_differing", "parts_handed_over", "shares_moved"}
+	"takeovers_warm", "takeovers_cold", "copies_differing", "parts_handed_over", "shares_moved",
+	"machine_tokens_raised", "part_tokens_raised"}
 
 // metricName returns the name of an event's counter.
 func (e Event) metricName() string { return "micaspindle_" + eventNames[e] + "_total" }
