agents: Log and count what an on-call engineer needs to follow an attempt

During the incident of copied starts the controllers' logs said nothing of starts, forgets and the tokens that they bore; only the machines' own records told the hypotheses apart.

No behaviour changes.

--- a/internal/coordination/agents/attempts.go
+++ b/internal/coordination/agents/attempts.go
@@ -41,6 +41,7 @@
 	job := attempt.Job
 	attempt.ExitCause = task.Cause
 	attempt.State = cluster.AttemptExited
+	a.log.Info("attempt ended", "task", attempt.TaskName(), "attempt", attempt.Number, "machine", attempt.Machine.Name, "reason", task.Cause)
 	a.freeResources(attempt, now)
 	chunk := job.Chunk(attempt.TaskIndex)
 	chunk.Exited = append(chunk.Exited, attempt)
--- a/internal/coordination/agents/command_delivery.go
+++ b/internal/coordination/agents/command_delivery.go
@@ -1,6 +1,7 @@
 package agents
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -44,6 +45,7 @@
 	a.recordCommandsSent(machine, now)
 	batch := protocol.CommandBatch{Token: a.Token(machine), Epoch: machine.Epoch, Commands: commands}
 	delegate := partition.Delegations.CommandRoute(machine.Shard, now)
+	a.logCommands(machine, batch, cmp.Or(delegate, "direct"))
 	name, addr := machine.Name, machine.Record.Addr
 	a.loop.Go(func() {
 		heartbeat, sent, err := a.PostCommands(delegate, name, addr, batch)
@@ -80,7 +82,7 @@
 func (a *Agents) applyCommandAnswer(machine *cluster.Machine, heartbeat *protocol.Heartbeat, err error) {
 	a.recordCommandsAnswered(machine)
 	if err != nil {
-		a.log.Debug("failed to send commands", "machine", machine.Name, "error", err)
+		a.log.Info("commands not executed or not answered", "machine", machine.Name, "error", err)
 	}
 	if heartbeat != nil && a.isLedHere(machine) {
 		a.ApplyHeartbeat(machine, heartbeat, time.Now())
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -61,6 +61,7 @@
 	batch := protocol.CommandBatch{Token: token}
 	if partition.Ready && machine.TokenConfirmed {
 		batch.Commands = a.commandsFor(machine, now, true)
+		a.logCommands(machine, batch, "heartbeat")
 	} else {
 		batch.Commands = a.StopsForCancelledJobs(heartbeat)
 	}
@@ -138,16 +139,17 @@
 		a.Fence(machine)
 		return
 	}
+	machine.TokenSeen = heartbeat.Token
 	if !machine.TokenConfirmed {
 		machine.TokenConfirmed = true
 		partition.Wake()
-		a.log.Debug("machine fenced", "machine", machine.Name, "token", heartbeat.Token)
+		a.log.Info("machine fenced", "machine", machine.Name, "epoch", heartbeat.Epoch, "token", heartbeat.Token)
 	}
 	a.reconcile(machine, heartbeat, now)
 	if !machine.PreemptionAt.IsZero() {
 		a.evacuate(machine, now)
 	}
-	if machine.HasUnreleasedAttempt() || len(machine.OrphanedTasks) > 0 {
+	if machine.ReleasedAttempts() < len(machine.Attempts) || len(machine.OrphanedTasks) > 0 {
 		machine.IdleSince = now
 	}
 }
--- a/internal/coordination/agents/machines.go
+++ b/internal/coordination/agents/machines.go
@@ -79,6 +79,7 @@
 func (a *Agents) CheckMachines(now time.Time) {
 	leaseBound := time.Duration(float64(a.AgentLease)*cluster.ClockDriftFactor) + cluster.ClockMargin
 	var toDelete []*cluster.Machine
+	a.logHeartbeatAnswering(now)
 	for _, machine := range a.Machines {
 		partition := a.Partitions[machine.Record.Partition]
 		if !partition.Held || !partition.Ready || machine.Lost {
--- a/internal/coordination/agents/reconcile.go
+++ b/internal/coordination/agents/reconcile.go
@@ -67,7 +67,7 @@
 func (a *Agents) applyAbsence(key string, attempt *cluster.Attempt, token uint64, now time.Time) {
 	switch attempt.State {
 	case cluster.AttemptReleased:
-		// The agent has forgotten the attempt.
+		a.log.Info("attempt forgotten", "task", attempt.TaskName(), "attempt", attempt.Number, "machine", attempt.Machine.Name, "token", token)
 		delete(attempt.Machine.Attempts, key)
 	case cluster.AttemptExited:
 		// The attempt is kept until its end is committed.
--- a/internal/coordination/api/operations.go
+++ b/internal/coordination/api/operations.go
@@ -125,6 +125,7 @@
 			continue
 		}
 		view.Machines++
+		view.Forgetting += machine.ReleasedAttempts()
 		if machine.ReservedFor != fairshare.NoGroup {
 			view.Reserved++
 		}
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -75,8 +75,10 @@
 
 	// The fencing token.
 
-	// TokenConfirmed is set once a heartbeat with at least the State.FencingToken was received.
+	// TokenConfirmed is set once a heartbeat with a sufficient token was received
+	// (State.FencingToken). TokenSeen is the token in the newest heartbeat that was applied.
 	TokenConfirmed bool
+	TokenSeen      uint64
 	// TokenRaiseBy is the time by which the machine's token must be raised; zero if no
 	// raise is needed.
 	TokenRaiseBy time.Time
@@ -280,15 +282,14 @@
 	return false
 }
 
-// HasUnreleasedAttempt reports whether an attempt on the machine may be running or its end is not
-// committed yet. Released attempts only wait to be forgotten.
-func (m *Machine) HasUnreleasedAttempt() bool {
+// ReleasedAttempts returns the number of attempts that only wait to be forgotten by the agent.
+func (m *Machine) ReleasedAttempts() (n int) {
 	for _, a := range m.Attempts {
-		if a.State != AttemptReleased {
-			return true
+		if a.State == AttemptReleased {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // NeedsCommands reports whether there may be commands for the machine. The check is cheap,
--- a/internal/coordination/cluster/partition.go
+++ b/internal/coordination/cluster/partition.go
@@ -45,6 +45,9 @@
 	AcquiredAt time.Time
 	// Ready is set once the partition's run state was read after the lease was acquired.
 	Ready bool
+	// AnswersHeartbeats is set while this controller may answer the heartbeats of the
+	// partition's agents, as last logged.
+	AnswersHeartbeats bool
 	// WarmFailover is set if the run state at the takeover came from a replica.
 	WarmFailover bool
 	// LeaderStateCleared is set once all state that is valid only on the partition's
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -61,6 +61,8 @@
 	Running     int     `msgpack:"running" json:"running"`
 	Waiting     int     `msgpack:"waiting" json:"waiting"`
 	OldestWaitS float64 `msgpack:"oldest_s" json:"oldest_s"`
+	// Forgetting is the number of ended attempts that the agents have not forgotten yet.
+	Forgetting int `msgpack:"forgetting,omitempty" json:"forgetting,omitempty"`
 	// CPUUtilization is the fraction of CPUs in use.
 	CPUUtilization float64 `msgpack:"used" json:"used"`
 	// Delegates are the controllers to which shards of the partition are delegated.
