--- a/internal/coordination/command_copies_test.go
+++ b/internal/coordination/command_copies_test.go
@@ -21,6 +21,12 @@
 	delayMin, delayMax time.Duration
 }
 
+// The bounds of the delays of copies in random fault plans.
+const (
+	copyDelayMin = 200 * time.Millisecond
+	copyDelayMax = 90 * time.Second
+)
+
 // copyCommands schedules the copies of a message that an agent has executed.
 func (sim *simulatedCluster) copyCommands(machine string, body []byte) {
 	sim.mu.Lock()
--- a/internal/coordination/planned_faults_test.go
+++ b/internal/coordination/planned_faults_test.go
@@ -62,10 +62,12 @@
 	faultCloudUnreachable       faultKind = "cloud unreachable"
 	faultLateCommands           faultKind = "late commands"
 	faultLostCommandAnswers     faultKind = "lost command answers"
+	faultCopiedCommands         faultKind = "copied commands" // copies of commands that were carried out arrive later
 	faultSlowLinks              faultKind = "slow links"
 )
 
 // faultKinds are the kinds that random plans draw from; late commands are drawn twice as often.
+// Copied commands are drawn apart, by addCopiedCommands.
 var faultKinds = []faultKind{
 	faultLateTransactions, faultLostTransactionAnswers, faultLateHeartbeats, faultReplayedHeartbeats,
 	faultInboundLost, faultOutboundLost, faultStateStoreRefusal, faultCutFromAllButAgents,
@@ -208,6 +210,7 @@
 	faultLostMessages:       (*simulatedCluster).injectLostMessages,
 	faultLateCommands:       (*simulatedCluster).injectLateCommands,
 	faultLostCommandAnswers: (*simulatedCluster).injectLateCommands,
+	faultCopiedCommands:     (*simulatedCluster).injectCopiedCommands,
 	faultSlowLinks:          (*simulatedCluster).injectSlowLinks,
 }
 
@@ -439,6 +442,16 @@
 	})
 }
 
+// injectCopiedCommands copies a share of the direct commands that agents have executed.
+func (sim *simulatedCluster) injectCopiedCommands(fault plannedFault) {
+	sim.during(fault, func(on bool) {
+		sim.copiedCommands = nil
+		if on {
+			sim.copiedCommands = &commandCopyFault{rate: fault.Share, copies: 1 + fault.Arg%3, delayMin: copyDelayMin, delayMax: copyDelayMax}
+		}
+	})
+}
+
 // injectSlowLinks delays every message by a random time.
 func (sim *simulatedCluster) injectSlowLinks(fault plannedFault) {
 	sim.during(fault, func(on bool) {
--- a/internal/coordination/random_concurrent_faults_test.go
+++ b/internal/coordination/random_concurrent_faults_test.go
@@ -30,10 +30,25 @@
 			plan = append(plan, fault)
 		}
 	}
+	plan = addCopiedCommands(plan, seed)
 	slices.SortStableFunc(plan, func(a, b plannedFault) int { return int(a.At - b.At) })
 	return plan
 }
 
+// addCopiedCommands adds spells of copied commands to about half of the groups of a plan.
+func addCopiedCommands(plan []plannedFault, seed uint64) []plannedFault {
+	rng := rand.New(rand.NewPCG(seed, 79))
+	for group := range 5 {
+		if rng.IntN(2) == 0 {
+			continue
+		}
+		at := time.Duration(5+group*22)*time.Second + time.Duration(rng.IntN(12_000))*time.Millisecond
+		plan = append(plan, plannedFault{Kind: faultCopiedCommands, At: at, For: time.Duration(3000+rng.IntN(20_000)) * time.Millisecond,
+			Arg: rng.IntN(1000), Share: 0.3 + 0.7*rng.Float64()})
+	}
+	return plan
+}
+
 // runFaultPlan injects a plan's faults while users submit, poll and cancel jobs.
 func runFaultPlan(sim *simulatedCluster, seed uint64, plan []plannedFault) {
 	rng := rand.New(rand.NewPCG(seed, 78))
@@ -87,7 +102,7 @@
 		<-finished
 	}
 	sim.withLock(func() {
-		sim.lateTransactionRate, sim.duplicatedHeartbeatRate, sim.messageFaultRate, sim.cancelAtEnd, sim.delayedCommands, sim.linkDelayMax = 0, 0, 0, nil, nil, 0
+		sim.lateTransactionRate, sim.duplicatedHeartbeatRate, sim.messageFaultRate, sim.cancelAtEnd, sim.delayedCommands, sim.linkDelayMax, sim.copiedCommands = 0, 0, 0, nil, nil, 0, nil
 	})
 	// Tasks may wait long, for example because of a team's quota, but some must end in each
 	// interval until all have ended.
