agents: Detect agents that restarted without memory before copies of starts run

Callers could see a task on two machines, or a task run that no record knows, after a machine came back under its name with nothing remembered: it executes copies of any start of its first epoch, while its own heartbeats were refused as old for a whole lease and its token stayed 0. An attempt that the machine no longer reported was given up though an answered start could come again.

Cause: the same class of fault as the copied starts, an assumption on the network and here on the agent's memory: absence was taken for the end.

Fix: a heartbeat that is not newer than an earlier one is followed by a request without commands, at most two in a machine lease. An answer that is older than what was applied before the request was sent proves the restart; the token is raised, and an attempt that is missing holds its task until the agent has a token above its start's (rule 56).

--- a/internal/coordination/agents/command_delivery.go
+++ b/internal/coordination/agents/command_delivery.go
@@ -46,12 +46,12 @@
 	batch := protocol.CommandBatch{Token: a.Token(machine), Epoch: machine.Epoch, Commands: commands}
 	delegate := partition.Delegations.CommandRoute(machine.Shard, now)
 	a.logCommands(machine, batch, cmp.Or(delegate, "direct"))
-	name, addr := machine.Name, machine.Record.Addr
+	name, addr, sentAfter := machine.Name, machine.Record.Addr, machine.Position()
 	a.loop.Go(func() {
 		heartbeat, sent, err := a.PostCommands(delegate, name, addr, batch)
 		a.loop.Do(func() {
 			recordStartsAnswered(starts, sent)
-			a.applyCommandAnswer(machine, heartbeat, err)
+			a.applyCommandAnswer(machine, sentAfter, heartbeat, err)
 		})
 	})
 }
@@ -78,13 +78,15 @@
 	}
 }
 
-// applyCommandAnswer processes the answer to commands, and sends the commands that were deferred.
-func (a *Agents) applyCommandAnswer(machine *cluster.Machine, heartbeat *protocol.Heartbeat, err error) {
+// applyCommandAnswer processes the answer to commands that were sent after the heartbeat at position
+// sentAfter was applied, and sends the commands that were deferred.
+func (a *Agents) applyCommandAnswer(machine *cluster.Machine, sentAfter cluster.HeartbeatPosition, heartbeat *protocol.Heartbeat, err error) {
 	a.recordCommandsAnswered(machine)
 	if err != nil {
 		a.log.Info("commands not executed or not answered", "machine", machine.Name, "error", err)
 	}
 	if heartbeat != nil && a.isLedHere(machine) {
+		a.detectRestart(machine, sentAfter, heartbeat, time.Now())
 		a.ApplyHeartbeat(machine, heartbeat, time.Now())
 	}
 	if machine.CommandsDeferred && err == nil {
@@ -142,6 +144,12 @@
 // leaders (rule 7).
 func (a *Agents) Fence(machine *cluster.Machine) {
 	machine.TokenConfirmed = false
+	a.sendFence(machine)
+}
+
+// sendFence sends a message without commands, which carries the current fencing token. It sends
+// nothing to a lost machine, and nothing while an earlier request is in flight that may wait.
+func (a *Agents) sendFence(machine *cluster.Machine) {
 	if machine.Record.Addr == "" || machine.Lost {
 		return
 	}
@@ -154,10 +162,10 @@
 	a.recordCommandsSent(machine, now)
 	batch := protocol.CommandBatch{Token: a.Token(machine), Epoch: max(machine.Epoch, machine.ReplicatedEpoch, 1), Commands: []protocol.Command{}}
 	delegate := a.Partitions[machine.Record.Partition].Delegations.FenceRoute(machine.Shard, now)
-	name, addr := machine.Name, machine.Record.Addr
+	name, addr, sentAfter := machine.Name, machine.Record.Addr, machine.Position()
 	a.loop.Go(func() {
 		heartbeat, err := a.postFence(delegate, name, addr, batch)
-		a.loop.Do(func() { a.applyFenceAnswer(machine, heartbeat, err) })
+		a.loop.Do(func() { a.applyFenceAnswer(machine, sentAfter, heartbeat, err) })
 	})
 }
 
@@ -172,8 +180,9 @@
 	return heartbeat, err
 }
 
-// applyFenceAnswer processes the answer to a fencing message.
-func (a *Agents) applyFenceAnswer(machine *cluster.Machine, heartbeat *protocol.Heartbeat, err error) {
+// applyFenceAnswer processes the answer to a fencing message that was sent after the heartbeat at
+// position sentAfter was applied.
+func (a *Agents) applyFenceAnswer(machine *cluster.Machine, sentAfter cluster.HeartbeatPosition, heartbeat *protocol.Heartbeat, err error) {
 	a.recordCommandsAnswered(machine)
 	if err != nil {
 		a.log.Debug("failed to fence machine", "machine", machine.Name, "error", err)
@@ -181,6 +190,7 @@
 	}
 	if a.isLedHere(machine) && heartbeat.Machine == machine.Name {
 		machine.LastHeartbeatAt = time.Now()
+		a.detectRestart(machine, sentAfter, heartbeat, time.Now())
 		a.ApplyHeartbeat(machine, heartbeat, time.Now())
 		a.SendCommands(machine)
 	}
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -46,6 +46,7 @@
 		return apierror.Response(errSuperseded)
 	}
 	if machine.DeleteConfirmed || !machine.AcceptHeartbeat(heartbeat) {
+		a.ProbeIfRestarted(machine, now)
 		return apierror.Response(errStaleHeartbeat)
 	}
 	if heartbeat.Addr != "" {
--- a/internal/coordination/agents/reconcile.go
+++ b/internal/coordination/agents/reconcile.go
@@ -67,12 +67,17 @@
 func (a *Agents) applyAbsence(key string, attempt *cluster.Attempt, token uint64, now time.Time) {
 	switch attempt.State {
 	case cluster.AttemptReleased:
+		if a.keptByCopies(attempt, token, now) {
+			return
+		}
 		a.log.Info("attempt forgotten", "task", attempt.TaskName(), "attempt", attempt.Number, "machine", attempt.Machine.Name, "token", token)
 		delete(attempt.Machine.Attempts, key)
 	case cluster.AttemptExited:
 		// The attempt is kept until its end is committed.
 	case cluster.AttemptConfirmed:
-		a.ReleaseAttempt(attempt, "missing from heartbeat", now)
+		if !a.keptByCopies(attempt, token, now) {
+			a.ReleaseAttempt(attempt, "missing from heartbeat", now)
+		}
 	case cluster.AttemptCommitted:
 		// The agent refuses a start with an earlier token, even one that is still in
 		// flight.
@@ -81,3 +86,14 @@
 		}
 	}
 }
+
+// keptByCopies reports whether an attempt that the agent has forgotten without a command must be
+// kept, because a copy of its start could run it again under the agent's token. If so, it requests a
+// higher token.
+func (a *Agents) keptByCopies(attempt *cluster.Attempt, token uint64, now time.Time) bool {
+	if !attempt.MayStartAgain(token) {
+		return false
+	}
+	attempt.Machine.RaiseTokenBy(now)
+	return true
+}
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -43,7 +43,7 @@
 	Sequence uint64
 	// NewestHeartbeatRequest identifies the newest heartbeat that was received as a request,
 	// and not as the answer to commands.
-	NewestHeartbeatRequest struct{ Epoch, Sequence uint64 }
+	NewestHeartbeatRequest HeartbeatPosition
 	// ReplicatedEpoch is the agent epoch that an earlier leader replicated, or 0 if none
 	// did.
 	ReplicatedEpoch uint64
@@ -92,6 +92,8 @@
 	// CommandsDeferred is set if more commands are to be sent once the requests in
 	// flight are answered.
 	CommandsDeferred bool
+	// ProbedAt is the time at which the agent was last asked whether it has restarted.
+	ProbedAt time.Time
 	// CommandsRetriedAt is the time at which commands were last repeated while no
 	// request with commands was in flight.
 	CommandsRetriedAt time.Time
@@ -155,6 +157,19 @@
 	ReplicationSeq uint64
 }
 
+// HeartbeatPosition is the place of a heartbeat, or of an answer to commands, among all of an agent.
+type HeartbeatPosition struct{ Epoch, Sequence uint64 }
+
+// Before reports whether a heartbeat at position p was sent before one at position other.
+func (p HeartbeatPosition) Before(other HeartbeatPosition) bool {
+	return p.Epoch < other.Epoch || p.Epoch == other.Epoch && p.Sequence < other.Sequence
+}
+
+// PositionOf returns the position of a heartbeat.
+func PositionOf(heartbeat *protocol.Heartbeat) HeartbeatPosition {
+	return HeartbeatPosition{heartbeat.Epoch, heartbeat.Sequence}
+}
+
 // lateHeartbeatGrace is the delay of a heartbeat, in addition to a quarter of the heartbeat
 // interval, after which the machine gets no new work.
 const lateHeartbeatGrace = 1500 * time.Millisecond
@@ -246,19 +261,21 @@
 // so it no longer waits for the answer to an older or duplicate heartbeat, and that answer
 // could not extend the machine's lease (rule 48).
 func (m *Machine) AcceptHeartbeat(heartbeat *protocol.Heartbeat) bool {
-	newest := &m.NewestHeartbeatRequest
-	if heartbeat.Epoch < newest.Epoch || heartbeat.Epoch == newest.Epoch && heartbeat.Sequence <= newest.Sequence {
+	if !m.NewestHeartbeatRequest.Before(PositionOf(heartbeat)) {
 		return false
 	}
-	newest.Epoch, newest.Sequence = heartbeat.Epoch, heartbeat.Sequence
+	m.NewestHeartbeatRequest = PositionOf(heartbeat)
 	return true
 }
 
 // IsNewer reports whether a heartbeat is newer than all applied heartbeats.
 func (m *Machine) IsNewer(heartbeat *protocol.Heartbeat) bool {
-	return heartbeat.Epoch > m.Epoch || heartbeat.Epoch == m.Epoch && heartbeat.Sequence > m.Sequence
+	return m.Position().Before(PositionOf(heartbeat))
 }
 
+// Position returns the position of the newest heartbeat that was applied.
+func (m *Machine) Position() HeartbeatPosition { return HeartbeatPosition{m.Epoch, m.Sequence} }
+
 // HasAttemptBeforeEpoch reports whether an attempt belongs to an earlier agent epoch than
 // the given one, and thus has ended.
 func (m *Machine) HasAttemptBeforeEpoch(epoch uint64) bool {
--- a/internal/coordination/command_copies_test.go
+++ b/internal/coordination/command_copies_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"micaspindle/internal/fake/agent"
 	"micaspindle/internal/protocol"
 )
 
@@ -27,6 +28,20 @@
 	copyDelayMax = 90 * time.Second
 )
 
+// firstContactTime is the time within which the leader contacts an agent that has restarted and
+// raises its token. Until then, nothing can keep the agent from executing copies of any start.
+const firstContactTime = 3 * time.Second
+
+// restartAgent restarts an agent without its memory. Copies of commands reach it once the leader has
+// had time to contact it. The lock is held.
+func (sim *simulatedCluster) restartAgent(agent *agent.Agent) {
+	agent.Restart()
+	if sim.copiesHeldUntil == nil {
+		sim.copiesHeldUntil = map[string]time.Time{}
+	}
+	sim.copiesHeldUntil[agent.Name] = time.Now().Add(firstContactTime)
+}
+
 // copyCommands schedules the copies of a message that an agent has executed.
 func (sim *simulatedCluster) copyCommands(machine string, body []byte) {
 	sim.mu.Lock()
@@ -192,3 +207,24 @@
 		}
 	})
 }
+
+// Guards against a copy of a start that runs a task again on a machine that came back under its name
+// without its memory, while the task's next attempt runs elsewhere.
+func TestCopiedStartsOnMachinesWithoutMemoryAreRefused(t *testing.T) {
+	t.Parallel()
+	for i, leader := range leaderChanges {
+		for j, uptime := range []time.Duration{0, 12 * time.Second, 25 * time.Second} {
+			t.Run(fmt.Sprint(leader.name, ", up for ", uptime), func(t *testing.T) {
+				t.Parallel()
+				prepare := func(sim *simulatedCluster) { sim.cloud.Capacity = 16 }
+				runConfiguredSimulation(t, 760+uint64(3*i+j), prepare, func(sim *simulatedCluster) {
+					forget := attemptEnd{proceed: func(sim *simulatedCluster, _ []string) {
+						time.Sleep(uptime)
+						sim.forEachAgent(sim.restartAgent)
+					}}
+					runWithCopiedCommands(sim, forget, leader.change)
+				})
+			})
+		}
+	}
+}
--- a/internal/coordination/concurrent_command_faults_test.go
+++ b/internal/coordination/concurrent_command_faults_test.go
@@ -80,6 +80,19 @@
 	return ops[protocol.OpStart] && (ops[protocol.OpStop] || ops[protocol.OpForget])
 }
 
+// anyAcceptable reports whether an agent would still execute one of the messages, since its leader
+// has not raised the machine's token in the meantime.
+func (sim *simulatedCluster) anyAcceptable(messages []capturedMessage) bool {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return slices.ContainsFunc(messages, func(message capturedMessage) bool {
+		var batch protocol.CommandBatch
+		panicOnError(protocol.Decode(message.body, &batch))
+		agent := sim.agents[message.machine]
+		return agent != nil && batch.Token >= agent.Token && batch.Epoch == agent.Epoch
+	})
+}
+
 // sendCommandsOfAllKinds makes a leader send starts, stops and reaps: it submits jobs and cancels
 // one, while others end.
 func (sim *simulatedCluster) sendCommandsOfAllKinds(leader, cancelled string) error {
@@ -111,7 +124,7 @@
 		for range 150 {
 			time.Sleep(100 * time.Millisecond)
 			sim.withLock(func() { sent = slices.Clone(*captured) })
-			if hasStartsAndStops(everySecondMessage(sent, 0)) && hasStartsAndStops(everySecondMessage(sent, 1)) {
+			if hasStartsAndStops(everySecondMessage(sent, 0)) && hasStartsAndStops(everySecondMessage(sent, 1)) && sim.anyAcceptable(everySecondMessage(sent, 0)) {
 				break
 			}
 		}
@@ -331,8 +344,17 @@
 	}, finishWithin: 6 * time.Minute},
 }
 
-// delayHalfOfCommands delays half of the direct commands for a minute, while jobs are submitted
-// and cancelled and machines are preempted.
+// The minimum numbers of starts and stops that arrive late in delayHalfOfCommands, and the longest
+// time for which it delays commands until they have.
+const (
+	lateStartsAppliedMin = 10
+	lateStartsRefusedMin = 3
+	lateStopsAppliedMin  = 3
+	delayedCommandsMax   = 4 * time.Minute
+)
+
+// delayHalfOfCommands delays half of the direct commands for a minute, or longer until enough of them
+// have arrived late, while jobs are submitted and cancelled and machines are preempted.
 func delayHalfOfCommands(sim *simulatedCluster) error {
 	sim.withLock(func() {
 		sim.taskRunTime = func(job string, task int, _ string) time.Duration {
@@ -351,9 +373,17 @@
 		}
 	})
 	teams := allTeams
+	enough := func() bool {
+		return sim.faultCount("late start applied") >= lateStartsAppliedMin && sim.faultCount("late start refused") >= lateStartsRefusedMin &&
+			sim.faultCount("late stop applied") >= lateStopsAppliedMin
+	}
 	begun := time.Now()
-	for i := 0; time.Since(begun) < 75*time.Second; i++ {
-		if at := time.Since(begun); at > 10*time.Second && at < 70*time.Second {
+	end := 75 * time.Second
+	for i := 0; time.Since(begun) < end; i++ {
+		if end-time.Since(begun) < 10*time.Second && end < delayedCommandsMax && !enough() {
+			end += 10 * time.Second
+		}
+		if at := time.Since(begun); at > 10*time.Second && at < end-5*time.Second {
 			sim.withLock(func() {
 				if sim.delayedCommands == nil {
 					sim.delayedCommands = &commandDelayFault{rate: 0.5}
@@ -418,7 +448,7 @@
 		sim.t.Errorf("%d machine records were written in one second, want at most %v", raisesMax, limit)
 	}
 	applied, refused, stops, preempted := sim.faultCount("late start applied"), sim.faultCount("late start refused"), sim.faultCount("late stop applied"), sim.faultCount("machines preempted")
-	if applied < 10 || refused < 3 || stops < 3 || preempted < 1 || len(tokenRaises) == 0 {
+	if applied < lateStartsAppliedMin || refused < lateStartsRefusedMin || stops < lateStopsAppliedMin || preempted < 1 || len(tokenRaises) == 0 {
 		return fmt.Errorf("%d late starts applied, %d refused, %d late stops applied, %d machines preempted, fencing tokens raised during %d different seconds; want at least 10, 3, 3, 1 and 1", applied, refused, stops, preempted, len(tokenRaises))
 	}
 	return nil
--- a/internal/coordination/fault_injection_test.go
+++ b/internal/coordination/fault_injection_test.go
@@ -30,6 +30,8 @@
 	delayedCommands *commandDelayFault
 	// copiedCommands, if set, delivers copies of direct commands that were carried out.
 	copiedCommands *commandCopyFault
+	// copiesHeldUntil are the times until which late commands to a machine are withheld.
+	copiesHeldUntil map[string]time.Time
 	// refuseStart, if set, returns the cause with which an agent refuses a start, or "".
 	refuseStart func(command protocol.Command) (cause string)
 	// startsAfterCancel are the tasks that started after the user had received confirmation of
@@ -144,7 +146,7 @@
 		}
 		sim.mu.Lock()
 		agent := sim.agents[machine]
-		hangs := agent != nil && agent.Hung
+		hangs := agent != nil && (agent.Hung || time.Now().Before(sim.copiesHeldUntil[machine]))
 		sim.mu.Unlock()
 		if agent == nil {
 			return
--- a/internal/coordination/heartbeat_test.go
+++ b/internal/coordination/heartbeat_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -180,3 +181,124 @@
 		}
 	})
 }
+
+// An attempt that is missing from a heartbeat holds its task until no copy of its start can run it
+// again: until the agent reports a token above that of the start (rules 6 and 56).
+func TestMissingAttemptIsKeptWhileItsStartMayRepeat(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, end := newIdleController(t)
+		defer end()
+		_, m := c.leadFirstPartition(9)
+		j := c.addLoadedJob("job-1")
+		a := addLiveAttempt(j, m, 1, cluster.AttemptConfirmed)
+		a.StartToken, a.StartMayRepeat = 9, true
+		send := func(sequence, token uint64) {
+			c.RecordsCurrentAt, c.LeaseRenewedAt = time.Now(), time.Now()
+			r := &protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 1, Sequence: sequence, Token: token}
+			c.agents.HandleHeartbeat(r, protocol.Encode(r))
+		}
+		if send(10, 9); !a.Live() || m.TokenRaiseBy.IsZero() {
+			t.Errorf("heartbeat without the task under the token of its start: attempt live %v, token raise requested %v, want both", a.Live(), !m.TokenRaiseBy.IsZero())
+		}
+		c.agents.ApplyMachineRecord("m-1", m.Record, 12, time.Now())
+		if send(11, 12); a.Live() {
+			t.Error("heartbeat without the task under a higher token: the attempt is still live")
+		}
+	})
+}
+
+// An answer that is older than a heartbeat received before the request proves that the agent has
+// restarted; an answer that was overtaken by a later heartbeat does not.
+func TestRestartIsDetectedByTheAnswerToARequest(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		answer    uint64 // sequence number of the answer
+		overtaken bool   // a heartbeat arrives while the request is in flight
+		restarted bool
+	}{
+		"newer answer":                       {answer: 41},
+		"answer overtaken by a heartbeat":    {answer: 41, overtaken: true},
+		"answer older than what was applied": {answer: 2, restarted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c, end := newIdleController(t)
+				defer end()
+				loop, stop := context.WithCancel(t.Context())
+				defer stop()
+				go c.loop.Serve(loop, func(time.Time) {})
+				_, m := c.leadFirstPartition(9)
+				answer := protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 1, Sequence: tc.answer, Token: 9}
+				setNetwork(c, heartbeatNetwork{time.Second, protocol.Encode(&answer)})
+				send := func(sequence uint64) {
+					c.RecordsCurrentAt, c.LeaseRenewedAt = time.Now(), time.Now()
+					r := &protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 1, Sequence: sequence, Token: 9}
+					c.agents.HandleHeartbeat(r, protocol.Encode(r))
+				}
+				c.loop.Do(func() {
+					send(40)
+					c.agents.ProbeIfRestarted(m, time.Now())
+				})
+				if tc.overtaken {
+					c.loop.Do(func() { send(42) })
+				}
+				time.Sleep(2 * time.Second)
+				c.loop.Do(func() {
+					if raised := !m.TokenRaiseBy.IsZero(); raised != tc.restarted || (m.Sequence == tc.answer) != !tc.overtaken {
+						t.Errorf("token raise requested: %v, last sequence applied %d; want %v and the answer's %d unless it was overtaken", raised, m.Sequence, tc.restarted, tc.answer)
+					}
+				})
+			})
+		})
+	}
+}
+
+// Only the token record of the present lease raises tokens: under an older or newer lease, another
+// leader's start may bear the record's revision.
+func TestTokenRecordCountsOnlyUnderItsLease(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name                 string
+		lease, record, under uint64
+		want                 uint64
+	}{
+		{"no record", 20, 0, 0, 20},
+		{"written under the present lease", 20, 30, 20, 30},
+		{"written under a former lease", 20, 15, 10, 20},
+		{"written under a lease that is not known here yet", 20, 45, 40, 20},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c, end := newIdleController(t)
+			defer end()
+			p, m := c.leadFirstPartition(tc.lease)
+			p.TokenRecord = cluster.TokenRecord{Revision: tc.record, LeaseRevision: tc.under}
+			if token, fencing := c.Token(m), c.FencingToken(m); token != tc.want || fencing != tc.lease {
+				t.Errorf("%s: token %d, fencing token %d, want %d and %d", tc.name, token, fencing, tc.want, tc.lease)
+			}
+		})
+	}
+}
+
+// A start that is to be kept out is fenced by the machine's own record even if the partition's token
+// was raised since, because the agent may not have received that token yet.
+func TestPendingStartIsFencedAfterAPartitionRaise(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, end := newIdleController(t)
+		defer end()
+		p, m := c.leadFirstPartition(9)
+		m.TokenConfirmed = true
+		j := c.addLoadedJob("job-1")
+		a := addLiveAttempt(j, m, 1, cluster.AttemptCommitted)
+		a.StartToken, a.StartMayRepeat, a.StartSentAt = 9, true, time.Now()
+		p.TokenRecord = cluster.TokenRecord{Revision: 30, LeaseRevision: 9}
+		time.Sleep(3 * time.Second)
+		j.Ended, c.FinalStates["job-1"] = true, protocol.StatusCancelled
+		c.agents.StopAttempt(a, 0, time.Now())
+		if m.TokenRaiseBy.IsZero() {
+			t.Error("no raise of the machine's token was requested")
+		}
+	})
+}
--- a/internal/coordination/proxy/collaborators.go
+++ b/internal/coordination/proxy/collaborators.go
@@ -13,6 +13,9 @@
 	// ApplyHeartbeat applies a machine's heartbeat to the state, whether it came from the agent or
 	// from a delegate.
 	ApplyHeartbeat(machine *cluster.Machine, heartbeat *protocol.Heartbeat, now time.Time)
+	// ProbeIfRestarted asks an agent for its state if a heartbeat was not newer than an earlier
+	// one, since the agent may have restarted without its memory.
+	ProbeIfRestarted(machine *cluster.Machine, now time.Time)
 	// SendCommands sends the pending commands to a machine's agent, one request at a time.
 	SendCommands(machine *cluster.Machine)
 	// StopsForCancelledJobs returns stop commands for the attempts of cancelled jobs in a
--- a/internal/coordination/proxy/grants.go
+++ b/internal/coordination/proxy/grants.go
@@ -82,7 +82,9 @@
 	if machine == nil || machine.Record.Partition != partition.Index {
 		return
 	}
-	machine.AcceptHeartbeat(heartbeat)
+	if !machine.AcceptHeartbeat(heartbeat) {
+		p.agents.ProbeIfRestarted(machine, now)
+	}
 	machine.AnsweredUntil = now // an upper bound: the delegate answered before now
 	if heartbeat.Token > p.Token(machine) || !machine.IsNewer(heartbeat) {
 		return // out of order, or older than one received directly or through another delegate
--- a/internal/coordination/test_controller_test.go
+++ b/internal/coordination/test_controller_test.go
@@ -101,6 +101,18 @@
 	return &transport.Response{Status: n.status, Body: protocol.Encode(r)}, nil
 }
 
+// heartbeatNetwork answers every message with the same heartbeat, after a delay.
+type heartbeatNetwork struct {
+	delay time.Duration
+	body  []byte
+}
+
+// Do returns the heartbeat.
+func (n heartbeatNetwork) Do(context.Context, string, string, string, []byte) (*transport.Response, error) {
+	time.Sleep(n.delay)
+	return &transport.Response{Status: 200, Body: n.body}, nil
+}
+
 // addLoadedJob adds a job of one task with its run state loaded.
 func (c *Controller) addLoadedJob(id string) *cluster.Job {
 	j := &cluster.Job{Spec: newJobSpec(id, 1, "red")}
--- a/internal/fake/agent/agent.go
+++ b/internal/fake/agent/agent.go
@@ -171,3 +171,13 @@
 		}
 	}
 }
+
+// Restart restarts the machine at once. The agent comes back under its name with no memory: no
+// tasks, no token, and its first epoch and sequence. The caller holds the lock.
+func (a *Agent) Restart() {
+	for _, t := range a.Tasks {
+		t.stopExec()
+	}
+	a.Tasks = map[string]*Task{}
+	a.Epoch, a.Sequence, a.Token, a.LeaseRenewedAt = 1, 0, 0, time.Now()
+}
