--- a/internal/coordination/command_copies_test.go
+++ b/internal/coordination/command_copies_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"testing"
 	"time"
@@ -18,14 +19,15 @@
 	rate float64
 	// copies is the number of copies of each message.
 	copies int
-	// delayMin and delayMax bound the time from a message to each of its copies.
+	// delayMin and delayMax bound the time from a message to each of its copies. Its logarithm is
+	// distributed uniformly, so that copies come soon as well as very late.
 	delayMin, delayMax time.Duration
 }
 
-// The bounds of the delays of copies in random fault plans.
+// The bounds of the delays of copies: a fraction of a second to minutes.
 const (
 	copyDelayMin = 200 * time.Millisecond
-	copyDelayMax = 90 * time.Second
+	copyDelayMax = 3 * time.Minute
 )
 
 // firstContactTime is the time within which the leader contacts an agent that has restarted and
@@ -51,7 +53,7 @@
 		return
 	}
 	for range fault.copies {
-		delay := fault.delayMin + time.Duration(sim.rng.Int64N(int64(fault.delayMax-fault.delayMin)+1))
+		delay := time.Duration(float64(fault.delayMin) * math.Pow(float64(fault.delayMax)/float64(fault.delayMin), sim.rng.Float64()))
 		sim.group.Go(func() { sim.deliverCommandLate(machine, delay, body, "copied") })
 	}
 }
@@ -170,14 +172,13 @@
 // runWithCopiedCommands runs jobs whose attempts end in one way while all commands are copied and
 // the leader changes.
 func runWithCopiedCommands(sim *simulatedCluster, end attemptEnd, changeLeader func(*simulatedCluster, int, string)) {
-	const copiesEndAfter = 45 * time.Second
 	sim.setRunTime(25 * time.Second)
 	var jobs []string
 	for i := range 6 {
 		jobs = append(jobs, fmt.Sprint("job-", i))
 	}
 	sim.withLock(func() {
-		sim.copiedCommands = &commandCopyFault{rate: 1, copies: 3, delayMin: 300 * time.Millisecond, delayMax: copiesEndAfter}
+		sim.copiedCommands = &commandCopyFault{rate: 1, copies: 16, delayMin: copyDelayMin, delayMax: copyDelayMax}
 		if end.begin != nil {
 			end.begin(sim)
 		}
@@ -197,9 +198,9 @@
 	changeLeader(sim, partition, sim.leaderOf(partition))
 	sim.waitForAllJobs(5 * time.Minute)
 	sim.withLock(func() { sim.copiedCommands = nil })
-	time.Sleep(copiesEndAfter)
-	if copies := sim.faultCount("copied start applied") + sim.faultCount("copied start refused"); copies < 10 {
-		sim.t.Errorf("%d copies of starts arrived, want at least 10", copies)
+	time.Sleep(copyDelayMax)
+	if copies := sim.faultCount("copied start applied") + sim.faultCount("copied start refused"); copies < 20 {
+		sim.t.Errorf("%d copies of starts arrived, want at least 20", copies)
 	}
 	sim.withLock(func() {
 		for _, start := range sim.startsAfterCancel {
