--- a/internal/coordination/simulated_network_test.go
+++ b/internal/coordination/simulated_network_test.go
@@ -156,14 +156,18 @@
 	if (fromOldVersion || toOldVersion) && slices.Contains(pathsOfNewVersions, path) {
 		return &transport.Response{Status: 404}
 	}
-	if fromOldVersion {
-		body = downgradeSummary(path, body)
-	}
-	if withoutTokenRecords && path == peering.SummaryPath {
-		body = withoutTokenRecordSupport(body)
-	}
-	if suppressNotices && path == peering.SummaryPath {
-		body = stripCancellationNotices(body)
+	if path == peering.SummaryPath {
+		body = alterSummary(body, func(sum *peer.Summary) {
+			if fromOldVersion {
+				downgradeSummary(sum)
+			}
+			if withoutTokenRecords {
+				sum.TokenRecords = false
+			}
+			if suppressNotices {
+				sum.Cancelled = nil
+			}
+		})
 	}
 	if alterUpdate != nil && path == replication.UpdatePath {
 		update := new(peer.ReplicaUpdate)
@@ -241,40 +245,21 @@
 	sim.withLock(func() { sim.dropsMessage = nil })
 }
 
-// downgradeSummary returns a summary as a controller without replication and delegation would
-// send it. Other messages stay as they are.
-func downgradeSummary(path string, body []byte) []byte {
-	if path != peering.SummaryPath {
-		return body
-	}
+// alterSummary returns an encoded summary after it was altered.
+func alterSummary(body []byte, alter func(*peer.Summary)) []byte {
 	sum := new(peer.Summary)
 	panicOnError(proto.Unmarshal(body, sum))
-	sum.Replicas, sum.Draining, sum.Replicates, sum.Capacity, sum.Connected, sum.Cancelled, sum.TokenRecords = nil, false, false, 0, 0, nil, false
-	for _, p := range sum.Partitions {
-		p.Standby, p.Delegated = "", nil
-	}
+	alter(sum)
 	body, err := proto.Marshal(sum)
 	panicOnError(err)
 	return body
 }
 
-// withoutTokenRecordSupport returns a summary as a controller that ignores token records would send
-// it.
-func withoutTokenRecordSupport(body []byte) []byte {
-	sum := new(peer.Summary)
-	panicOnError(proto.Unmarshal(body, sum))
-	sum.TokenRecords = false
-	body, err := proto.Marshal(sum)
-	panicOnError(err)
-	return body
-}
-
-// stripCancellationNotices returns a summary without its cancellation notices.
-func stripCancellationNotices(body []byte) []byte {
-	sum := new(peer.Summary)
-	panicOnError(proto.Unmarshal(body, sum))
-	sum.Cancelled = nil
-	body, err := proto.Marshal(sum)
-	panicOnError(err)
-	return body
+// downgradeSummary makes a summary one that a controller without replication and delegation would
+// send.
+func downgradeSummary(sum *peer.Summary) {
+	sum.Replicas, sum.Draining, sum.Replicates, sum.Capacity, sum.Connected, sum.Cancelled, sum.TokenRecords = nil, false, false, 0, 0, nil, false
+	for _, p := range sum.Partitions {
+		p.Standby, p.Delegated = "", nil
+	}
 }
