--- a/internal/coordination/records/apply.go
+++ b/internal/coordination/records/apply.go
@@ -30,7 +30,7 @@
 	w.dropUnlisted(listed, revision, now)
 	if !w.Synced {
 		w.Synced = true
-		w.log.Info("shared records listed", "jobs", len(w.Jobs), "final", len(w.FinalStates), "machines", len(w.Machines))
+		w.log.Info("shared records listed", "jobs", len(w.Jobs), "final", len(w.FinalStates), "machines", len(w.Machines), "revision", revision)
 	}
 }
 
--- a/internal/coordination/takeover/install.go
+++ b/internal/coordination/takeover/install.go
@@ -143,5 +143,5 @@
 		kind = telemetry.TakeoverWarm
 	}
 	t.metrics.Count(kind, 1)
-	t.log.Info("partition ready", "partition", p.Index, "live", live, "after", now.Sub(p.AcquiredAt), "warm", warm)
+	t.log.Info("partition ready", "partition", p.Index, "live", live, "after", now.Sub(p.AcquiredAt), "warm", warm, "token", p.LeaseRevision, "records_revision", t.RecordsRevision)
 }
