agents: End attempts of a later epoch when their agent restarts without memory

An attempt committed for epoch 2 of an agent that is back in epoch 1 was never started, since starts go out for the present epoch only, and kept its task and quota for good if the agent stayed in that epoch. It is stopped at the detection of the restart: released once its start is kept out by the raised token. TestAttemptsOfALaterEpochEndAfterARestart fails without it.

--- a/internal/coordination/agents/agent_restart.go
+++ b/internal/coordination/agents/agent_restart.go
@@ -38,4 +38,9 @@
 	machine.AnsweredUntil = now
 	machine.RaiseTokenBy(now)
 	a.Partitions[machine.Record.Partition].Wake()
+	for _, attempt := range machine.SortedAttempts() {
+		if attempt.Epoch > position.Epoch {
+			a.StopAttempt(attempt, 0, now) // it can't be started any more
+		}
+	}
 }
--- a/internal/coordination/heartbeat_test.go
+++ b/internal/coordination/heartbeat_test.go
@@ -255,6 +255,37 @@
 	}
 }
 
+// An attempt that was committed for a later epoch than the one in which a restarted agent is does not
+// wait for that epoch: its task starts again elsewhere once its own start is kept out.
+func TestAttemptsOfALaterEpochEndAfterARestart(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, end := newIdleController(t)
+		defer end()
+		loop, stop := context.WithCancel(t.Context())
+		defer stop()
+		go c.loop.Serve(loop, func(time.Time) {})
+		answer := protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 1, Sequence: 2, Token: 9}
+		setNetwork(c, heartbeatNetwork{time.Millisecond, protocol.Encode(&answer)})
+		c.loop.Do(func() {
+			_, m := c.leadFirstPartition(9)
+			m.Epoch, m.Sequence, m.HasReported, m.TokenConfirmed = 2, 40, true, true
+			a := addLiveAttempt(c.addLoadedJob("job-1"), m, 2, cluster.AttemptCommitted)
+			a.StartToken, a.StartMayRepeat, a.StartSentAt = 9, true, time.Now()
+			c.agents.ProbeIfRestarted(m, time.Now())
+		})
+		time.Sleep(time.Second)
+		c.loop.Do(func() {
+			m := c.Machines["m-1"]
+			c.agents.ApplyMachineRecord("m-1", m.Record, 12, time.Now())
+			c.agents.ApplyHeartbeat(m, &protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 1, Sequence: 30, Token: 12}, time.Now())
+			if left := len(m.Attempts); left > 0 {
+				t.Errorf("%d attempts are left after a heartbeat under the raised token, want none", left)
+			}
+		})
+	})
+}
+
 // Only the token record of the present lease raises tokens: under an older or newer lease, another
 // leader's start may bear the record's revision.
 func TestTokenRecordCountsOnlyUnderItsLease(t *testing.T) {
