--- a/internal/coordination/command_copies_test.go
+++ b/internal/coordination/command_copies_test.go
@@ -214,13 +214,27 @@
 func TestCopiedStartsOnMachinesWithoutMemoryAreRefused(t *testing.T) {
 	t.Parallel()
 	for i, leader := range leaderChanges {
-		for j, uptime := range []time.Duration{0, 12 * time.Second, 25 * time.Second} {
-			t.Run(fmt.Sprint(leader.name, ", up for ", uptime), func(t *testing.T) {
+		for j, cluster := range []struct {
+			name    string
+			uptime  time.Duration // of the machines after their tasks have started
+			prepare func(sim *simulatedCluster)
+		}{
+			{name: "at once"},
+			{name: "up for 12s", uptime: 12 * time.Second},
+			{name: "up for 25s", uptime: 25 * time.Second},
+			{name: "delegated, up for 12s", uptime: 12 * time.Second, prepare: configureFewSockets},
+		} {
+			t.Run(leader.name+", "+cluster.name, func(t *testing.T) {
 				t.Parallel()
-				prepare := func(sim *simulatedCluster) { sim.cloud.Capacity = 16 }
-				runConfiguredSimulation(t, 760+uint64(3*i+j), prepare, func(sim *simulatedCluster) {
+				prepare := func(sim *simulatedCluster) {
+					sim.cloud.Capacity = 16
+					if cluster.prepare != nil {
+						cluster.prepare(sim)
+					}
+				}
+				runConfiguredSimulation(t, 760+uint64(4*i+j), prepare, func(sim *simulatedCluster) {
 					forget := attemptEnd{proceed: func(sim *simulatedCluster, _ []string) {
-						time.Sleep(uptime)
+						time.Sleep(cluster.uptime)
 						sim.forEachAgent(sim.restartAgent)
 					}}
 					runWithCopiedCommands(sim, forget, leader.change)
