agents: Keep a former leader's answer bound when a restart is detected

The detection set the last possible answer to now, which may lie before the bound of a former leader that could still answer; it only ever moves later now. Commands are formatted for the log only where info lines are written. absenceProvesEnd says what keptByCopies decided.

--- a/internal/coordination/agents/agent_restart.go
+++ b/internal/coordination/agents/agent_restart.go
@@ -34,8 +34,9 @@
 	a.log.Info("agent restarted without its memory", "machine", machine.Name, "epoch", answer.Epoch, "token", answer.Token, "token_seen", machine.TokenSeen)
 	machine.Epoch, machine.Sequence = position.Epoch, position.Sequence-1
 	machine.NewestHeartbeatRequest = machine.Position()
-	// The agent's first lease began at the restart.
-	machine.AnsweredUntil = now
+	if machine.AnsweredUntil.Before(now) {
+		machine.AnsweredUntil = now // the agent's first lease began at the restart
+	}
 	machine.RaiseTokenBy(now)
 	a.Partitions[machine.Record.Partition].Wake()
 	for _, attempt := range machine.SortedAttempts() {
--- a/internal/coordination/agents/command_log.go
+++ b/internal/coordination/agents/command_log.go
@@ -1,6 +1,7 @@
 package agents
 
 import (
+	"log/slog"
 	"time"
 
 	"micaspindle/internal/coordination/cluster"
@@ -11,7 +12,7 @@
 // are valid, the token that the agent is known to have received, and the route, which is "direct",
 // "heartbeat" for an answer to a heartbeat, or the label of a delegate.
 func (a *Agents) logCommands(machine *cluster.Machine, batch protocol.CommandBatch, route string) {
-	if len(batch.Commands) == 0 {
+	if len(batch.Commands) == 0 || !a.log.Enabled(a.loop.Context(), slog.LevelInfo) {
 		return
 	}
 	attempts := map[string][]string{}
--- a/internal/coordination/agents/reconcile.go
+++ b/internal/coordination/agents/reconcile.go
@@ -67,7 +67,7 @@
 func (a *Agents) applyAbsence(key string, attempt *cluster.Attempt, token uint64, now time.Time) {
 	switch attempt.State {
 	case cluster.AttemptReleased:
-		if a.keptByCopies(attempt, token, now) {
+		if !a.absenceProvesEnd(attempt, token, now) {
 			return
 		}
 		a.log.Info("attempt forgotten", "task", attempt.TaskName(), "attempt", attempt.Number, "machine", attempt.Machine.Name, "token", token)
@@ -75,7 +75,7 @@
 	case cluster.AttemptExited:
 		// The attempt is kept until its end is committed.
 	case cluster.AttemptConfirmed:
-		if !a.keptByCopies(attempt, token, now) {
+		if a.absenceProvesEnd(attempt, token, now) {
 			a.ReleaseAttempt(attempt, "missing from heartbeat", now)
 		}
 	case cluster.AttemptCommitted:
@@ -87,13 +87,13 @@
 	}
 }
 
-// keptByCopies reports whether an attempt that the agent has forgotten without a command must be
-// kept, because a copy of its start could run it again under the agent's token. If so, it requests a
-// higher token.
-func (a *Agents) keptByCopies(attempt *cluster.Attempt, token uint64, now time.Time) bool {
-	if !attempt.MayStartAgain(token) {
+// absenceProvesEnd reports whether an attempt that the agent no longer reports has certainly ended. If
+// a copy of its start could run it again under the agent's token, absenceProvesEnd requests a higher
+// token.
+func (a *Agents) absenceProvesEnd(attempt *cluster.Attempt, token uint64, now time.Time) bool {
+	if attempt.MayStartAgain(token) {
+		attempt.Machine.RaiseTokenBy(now)
 		return false
 	}
-	attempt.Machine.RaiseTokenBy(now)
 	return true
 }
