Log and count why a waiting job doesn't start

Change: 'job waits' every 15 s for up to ten jobs of a partition of which no task was placed for 30 s: the machines that are large enough and allowed, by the reason of their exclusion, since and until when. 'task failed' has both pauses. Gauges of jobs that wait long and of those kept from a machine with room by failures; a count of quarantines. MachineBlock replaces the condition of Schedulable, so that the log can't differ from the decision. TestLogExplainsWhyJobsWait.

--- a/internal/coordination/agents/attempts.go
+++ b/internal/coordination/agents/attempts.go
@@ -55,7 +55,7 @@
 	case protocol.CauseError:
 		a.handleTaskFailure(attempt, now)
 	case protocol.CauseFull, protocol.CauseTaskInUse:
-		attempt.Machine.AvoidUntil = now.Add(startRefusedBackoff)
+		attempt.Machine.Avoid(now.Add(startRefusedBackoff), now)
 		a.handleStartRefusal(attempt)
 	case protocol.CauseUnknownTask:
 		job.BackoffUntil = now.Add(unknownJobBackoff)
@@ -73,7 +73,7 @@
 		return
 	}
 	if !attempt.StartedAt.IsZero() && !attempt.StartTimeUnknown() {
-		a.recordRunTime(attempt, now.Sub(attempt.StartedAt).Seconds())
+		a.recordRunTime(attempt, now)
 	}
 	job.Failures = 0
 	clear(attempt.Machine.FailedJobs)
@@ -84,11 +84,12 @@
 	job.Completing = job.DoneCount == job.Spec.Tasks
 }
 
-// recordRunTime records the run time of a completed task, in seconds.
-func (a *Agents) recordRunTime(attempt *cluster.Attempt, runTimeS float64) {
+// recordRunTime records the run time of a completed task.
+func (a *Agents) recordRunTime(attempt *cluster.Attempt, now time.Time) {
 	job, machine := attempt.Job, attempt.Machine
+	runTimeS := now.Sub(attempt.StartedAt).Seconds()
 	a.scheduler.LearnRunTime(job.Spec.Class, runTimeS, job.Spec.EstimateS)
-	a.detectSlowMachine(attempt, runTimeS)
+	a.detectSlowMachine(attempt, runTimeS, now)
 	if !attempt.Slow {
 		machine.SlowTasks = 0
 	}
@@ -102,21 +103,18 @@
 func (a *Agents) handleTaskFailure(attempt *cluster.Attempt, now time.Time) {
 	job, machine := attempt.Job, attempt.Machine
 	job.Requeue(attempt.TaskIndex)
-	job.Failures++
+	job.RecordFailure(machine, now)
 	machine.FailedJobs[job.Spec.ID] = true
-	machine.AvoidUntil = now.Add(failedMachineBackoff)
+	machine.Avoid(now.Add(failedMachineBackoff), now)
 	a.metrics.Count(telemetry.AttemptFailed, 1)
-	a.log.Info("task failed", "task", attempt.TaskName(), "machine", machine.Name, "count", job.Failures)
-	if job.FailedMachines == nil {
-		job.FailedMachines = map[string]bool{}
-	}
-	job.FailedMachines[machine.Name] = true
 	if len(job.FailedMachines) >= failedMachinesLimit {
 		// The job is probably faulty and must not keep occupying machines.
 		job.BackoffUntil = now.Add(min(failingJobBackoffMax, failingJobBackoff<<min(job.Failures, failureDoublingsLimit)))
 	}
+	a.log.Info("task failed", "task", attempt.TaskName(), "machine", machine.Name, "count", job.Failures,
+		"machine_backoff", machine.AvoidUntil.Sub(now), "job_backoff", max(0, job.BackoffUntil.Sub(now)))
 	if len(machine.FailedJobs) >= failedJobsLimit && !machine.Quarantined {
-		a.quarantine(machine, "different jobs fail on it")
+		a.quarantine(machine, "different jobs fail on it", now)
 		for _, other := range machine.SortedAttempts() {
 			a.StopAttempt(other, other.Job.Spec.CheckpointDurationS+saveSlackS, now)
 		}
@@ -125,8 +123,9 @@
 
 // quarantine excludes a machine from scheduling. The machine is returned to the cloud once it is
 // idle.
-func (a *Agents) quarantine(machine *cluster.Machine, reason string) {
-	machine.Quarantined = true
+func (a *Agents) quarantine(machine *cluster.Machine, reason string, now time.Time) {
+	machine.Quarantined, machine.QuarantinedAt = true, now
+	a.metrics.Count(telemetry.MachineQuarantined, 1)
 	a.log.Info("machine quarantined", "machine", machine.Name, "reason", reason)
 }
 
--- a/internal/coordination/agents/reconcile.go
+++ b/internal/coordination/agents/reconcile.go
@@ -59,7 +59,7 @@
 		}
 	}
 	attempt.Machine.Images[attempt.Job.Spec.Image] = now
-	a.detectSlowMachine(attempt, now.Sub(attempt.StartedAt).Seconds())
+	a.detectSlowMachine(attempt, now.Sub(attempt.StartedAt).Seconds(), now)
 }
 
 // applyAbsence updates an attempt that is missing from a heartbeat. token is the heartbeat's
--- a/internal/coordination/agents/slow_machines.go
+++ b/internal/coordination/agents/slow_machines.go
@@ -1,6 +1,8 @@
 package agents
 
 import (
+	"time"
+
 	"micaspindle/internal/coordination/cluster"
 )
 
@@ -20,7 +22,7 @@
 // on other machines. runTimeS is the run time of an attempt so far, in seconds. The user's estimate
 // is not used, since it may be wrong for all tasks of the job. A false positive is cheap: running
 // tasks continue, and the machine is returned to the cloud once it is idle.
-func (a *Agents) detectSlowMachine(attempt *cluster.Attempt, runTimeS float64) {
+func (a *Agents) detectSlowMachine(attempt *cluster.Attempt, runTimeS float64, now time.Time) {
 	if attempt.Slow || attempt.StartTimeUnknown() {
 		return
 	}
@@ -32,7 +34,7 @@
 	machine := attempt.Machine
 	machine.SlowTasks++
 	if machine.SlowTasks >= slowTasksLimit && !machine.Quarantined {
-		a.quarantine(machine, "tasks take far longer than on other machines")
+		a.quarantine(machine, "tasks take far longer than on other machines", now)
 	}
 }
 
--- a/internal/coordination/api/gauges.go
+++ b/internal/coordination/api/gauges.go
@@ -63,6 +63,8 @@
 		{Name: "part_attempts_forgetting", Labels: labels, Value: float64(partition.Forgetting)},
 		{Name: "part_tasks_waiting", Labels: labels, Value: float64(partition.Waiting)},
 		{Name: "part_oldest_wait_seconds", Labels: labels, Value: partition.OldestWaitS},
+		{Name: "part_jobs_waiting_long", Labels: labels, Value: float64(partition.LongWaitingJobs)},
+		{Name: "part_jobs_excluded_from_room", Labels: labels, Value: float64(partition.JobsExcludedFromRoom)},
 	}
 }
 
--- a/internal/coordination/api/operations.go
+++ b/internal/coordination/api/operations.go
@@ -111,7 +111,13 @@
 }
 
 func (s *Server) partitionOverview(partition *cluster.Partition, now time.Time) overview.Partition {
-	view := overview.Partition{Index: partition.Index, Ready: partition.Ready, Delegates: s.proxy.Overview(partition, now)}
+	view := overview.Partition{
+		Index:                partition.Index,
+		Ready:                partition.Ready,
+		Delegates:            s.proxy.Overview(partition, now),
+		LongWaitingJobs:      partition.LongWaitingJobs,
+		JobsExcludedFromRoom: partition.JobsExcludedFromRoom,
+	}
 	s.countMachines(&view)
 	s.countTasks(&view, now)
 	return view
--- a/internal/coordination/cluster/job.go
+++ b/internal/coordination/cluster/job.go
@@ -70,8 +70,10 @@
 	// until BackoffUntil.
 	Failures     int
 	BackoffUntil time.Time
-	// FailedMachines are the machines on which attempts failed; nil if there are none.
-	FailedMachines map[string]bool
+	// FailedMachines are the failures of the job's attempts, by machine; nil if there are none.
+	FailedMachines map[string]*MachineFailures
+	// LastPlacedAt is the time at which a task was last placed on a machine.
+	LastPlacedAt time.Time
 	// RunTimesS are the run times of done tasks in seconds, by machine; nil if no task is
 	// done.
 	RunTimesS map[string][]float64
@@ -131,6 +133,15 @@
 // Urgency returns the highest urgency among the job and its dependents.
 func (j *Job) Urgency() protocol.Urgency { return max(j.Spec.Urgency, j.InheritedUrgency) }
 
+// WaitingSince returns the time since which no task of the job was placed although the job could
+// have started.
+func (j *Job) WaitingSince() time.Time {
+	if since := j.ReadySince(); since.After(j.LastPlacedAt) {
+		return since
+	}
+	return j.LastPlacedAt
+}
+
 // ReadySince returns the earliest time at which the job could have started.
 func (j *Job) ReadySince() time.Time {
 	if j.DependenciesDoneAt.After(j.SubmittedAt) {
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -125,9 +125,12 @@
 	// other machines.
 	SlowTasks int
 	// Quarantined is set if the machine is considered faulty. A quarantined machine
-	// gets no new work.
-	Quarantined bool
-	// AvoidUntil is the time until which the machine gets no new work after a failure.
+	// gets no new work. QuarantinedAt is the time at which this controller found that.
+	Quarantined   bool
+	QuarantinedAt time.Time
+	// AvoidUntil is the time until which the machine gets no new work after a failure or a
+	// refused start, which was reported at AvoidedAt.
+	AvoidedAt  time.Time
 	AvoidUntil time.Time
 
 	// Reservation, preemption and removal.
@@ -170,10 +173,6 @@
 	return HeartbeatPosition{heartbeat.Epoch, heartbeat.Sequence}
 }
 
-// lateHeartbeatGrace is the delay of a heartbeat, in addition to a quarter of the heartbeat
-// interval, after which the machine gets no new work.
-const lateHeartbeatGrace = 1500 * time.Millisecond
-
 // ResetLeaderState clears the state that is valid only on the leader of the machine's
 // partition.
 func (m *Machine) ResetLeaderState() {
@@ -205,13 +204,6 @@
 	}
 }
 
-// Schedulable reports whether new work may go to a machine.
-func (s *State) Schedulable(m *Machine, now time.Time) bool {
-	return m.TokenConfirmed && !m.Lost && !m.Moving && !m.Quarantined && m.Type != nil && m.Record.Addr != "" &&
-		m.RetiringSince.IsZero() && m.PreemptionAt.IsZero() && now.After(m.AvoidUntil) &&
-		now.Sub(m.LastHeartbeatAt) < s.HeartbeatInterval*5/4+lateHeartbeatGrace
-}
-
 // IsDeleted reports whether a machine is known to be deleted although it is on record: an
 // unanswered write of its record was applied after the record had been deleted (rule 44).
 func (s *State) IsDeleted(name string) bool {
--- a/internal/coordination/cluster/partition.go
+++ b/internal/coordination/cluster/partition.go
@@ -81,6 +81,12 @@
 	// DoneTallies are the counts of recently completed jobs, by fair-share group.
 	DoneTallies map[int]*fairshare.Tally
 	FairShare   FairShareState
+	// LongWaitingJobs is the number of jobs that had waited long at WaitingJobsReportedAt, and
+	// JobsExcludedFromRoom the number of those that failures of tasks keep from a machine with
+	// room.
+	LongWaitingJobs       int
+	JobsExcludedFromRoom  int
+	WaitingJobsReportedAt time.Time
 
 	// Replication, handback and delegation, on the leader.
 
--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -40,7 +40,7 @@
 	return r.free(machine).Holds(job.Resources) &&
 		job.Constraints.Allows(m.Kind) &&
 		(zones == nil || ZoneAllowed(job.OneZone, job.Spread, job.Tasks, zones, m.Kind.Zone)) &&
-		!job.FailedMachines[m.Name] &&
+		!job.ExcludedMachines[m.Name] &&
 		(m.ReservedFor == fairshare.NoGroup || slices.Contains(job.Groups[:], m.ReservedFor))
 }
 
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -71,9 +71,8 @@
 	Tasks int
 	// Zones counts the running tasks by zone. It is only used with OneZone or Spread.
 	Zones map[string]int
-	// FailedMachines are the names of machines on which the job failed. Its tasks don't start
-	// there again.
-	FailedMachines map[string]bool
+	// ExcludedMachines are the names of machines on which no task of the job may start.
+	ExcludedMachines map[string]bool
 	// Prediction describes a newly started task of the job for the contention prediction.
 	Prediction contention.Task
 }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -56,7 +56,7 @@
 			v.Scarcity.Record("scarce", 1)
 			v.Jobs[0].Types = 3
 		}, Plan{Assignments: []Assignment{{0, 1}}}},
-		"machine where the job failed": {func(v *View, d *fakeDetails) { v.Jobs[0].FailedMachines = map[string]bool{"a": true} }, Plan{Assignments: []Assignment{{0, 1}}}},
+		"machine where the job failed": {func(v *View, d *fakeDetails) { v.Jobs[0].ExcludedMachines = map[string]bool{"a": true} }, Plan{Assignments: []Assignment{{0, 1}}}},
 		"team limit": {func(v *View, d *fakeDetails) {
 			v.Jobs[0].Pending, v.Teams[0] = 3, Team{Limit: binpack.TeamResources{CPUs: 8}, Used: binpack.TeamResources{CPUs: 3.5}}
 		}, Plan{Assignments: []Assignment{{0, 0}, {0, 0}}}},
--- a/internal/coordination/placement/round.go
+++ b/internal/coordination/placement/round.go
@@ -39,7 +39,7 @@
 }
 
 // taskShape holds all properties that determine on which machines a task fits, for jobs without
-// zone constraints or failed machines.
+// zone constraints or excluded machines.
 type taskShape struct {
 	resources binpack.Resources
 	zone      string
@@ -68,7 +68,7 @@
 func (r *round) placeTasks(jobIndex int) {
 	job := &r.Jobs[jobIndex]
 	shape := r.shape(job)
-	shapeSuffices := !job.zoneConstrained() && len(job.FailedMachines) == 0
+	shapeSuffices := !job.zoneConstrained() && len(job.ExcludedMachines) == 0
 	if shapeSuffices && r.unplaceable[shape] {
 		return
 	}
--- a/internal/coordination/preemption/preemption.go
+++ b/internal/coordination/preemption/preemption.go
@@ -62,8 +62,8 @@
 	NonPreempting bool
 	// DisallowedZones are the zones where no further task of the job may start.
 	DisallowedZones map[string]bool
-	// FailedMachines are the names of machines on which the job failed.
-	FailedMachines map[string]bool
+	// ExcludedMachines are the names of machines on which no task of the job may start.
+	ExcludedMachines map[string]bool
 	// Groups are the job's fair-share groups.
 	Groups [2]int
 }
--- a/internal/coordination/preemption/preemption_test.go
+++ b/internal/coordination/preemption/preemption_test.go
@@ -65,7 +65,7 @@
 		"job that is already late":                    {func(v *View) { v.Jobs[0].Deadline = now.Add(9 * time.Second) }, nil},
 		"job without a deadline after maxWait":        {func(v *View) { v.Jobs[0].Deadline, v.Jobs[0].ReadyAt = time.Time{}, now.Add(-16*time.Second) }, []Preemption{{Task: 1}}},
 		"gang":                                        {func(v *View) { v.Jobs[0].NonPreempting = true }, nil},
-		"machine where the job failed":                {func(v *View) { v.Jobs[0].FailedMachines = map[string]bool{"m-2": true} }, []Preemption{{Task: 0}}},
+		"machine where the job failed":                {func(v *View) { v.Jobs[0].ExcludedMachines = map[string]bool{"m-2": true} }, []Preemption{{Task: 0}}},
 		"closed zone":                                 {func(v *View) { v.Jobs[0].DisallowedZones = map[string]bool{"": true} }, nil},
 		"lost work above the maximum":                 {func(v *View) { v.Tasks[0].LostWork, v.Tasks[1].LostWork = 41, 41 }, nil},
 		"stopping task suffices":                      {func(v *View) { v.Tasks[1].Stopping = true }, nil},
--- a/internal/coordination/preemption/round.go
+++ b/internal/coordination/preemption/round.go
@@ -67,7 +67,7 @@
 func (r *round) cheapestMachine(job *Job, guaranteed bool) (cheapest victimSet, found bool) {
 	for i := range r.Machines {
 		machine := &r.Machines[i]
-		if r.claimed[i] || !job.Constraints.Allows(machine.Kind) || job.DisallowedZones[machine.Kind.Zone] || job.FailedMachines[machine.Name] {
+		if r.claimed[i] || !job.Constraints.Allows(machine.Kind) || job.DisallowedZones[machine.Kind.Zone] || job.ExcludedMachines[machine.Name] {
 			continue
 		}
 		candidate, possible := r.selectVictims(i, job, guaranteed)
--- a/internal/coordination/replication/hints.go
+++ b/internal/coordination/replication/hints.go
@@ -47,7 +47,9 @@
 	if m.Record.Addr == "" {
 		m.Record.Addr = hints.Addr
 	}
-	m.Quarantined = m.Quarantined || hints.Quarantined
+	if hints.Quarantined && !m.Quarantined {
+		m.Quarantined, m.QuarantinedAt = true, now
+	}
 	m.SlowTasks = max(m.SlowTasks, int(hints.SlowTasks))
 	m.ReplicatedEpoch = max(m.ReplicatedEpoch, hints.Epoch)
 	if m.PreemptionAt.IsZero() {
--- a/internal/coordination/scheduler/placement.go
+++ b/internal/coordination/scheduler/placement.go
@@ -108,22 +108,22 @@
 func (s *Scheduler) placementView(job *cluster.Job) placement.Job {
 	spec := job.Spec
 	view := placement.Job{
-		Pending:        len(job.Pending),
-		Gang:           spec.Gang,
-		Team:           job.Team,
-		Groups:         job.Groups(),
-		Class:          job.ClassGroup,
-		Resources:      cluster.ResourcesOf(spec),
-		Constraints:    cluster.ConstraintsOf(spec),
-		Types:          s.typeSet(spec),
-		Image:          spec.Image,
-		ImageGB:        spec.ImageGB,
-		LongFetchS:     s.longFetchS(job),
-		OneZone:        spec.OneZone,
-		Spread:         spec.Spread,
-		Tasks:          spec.Tasks,
-		FailedMachines: job.FailedMachines,
-		Prediction:     s.contentionTask(spec, 0),
+		Pending:          len(job.Pending),
+		Gang:             spec.Gang,
+		Team:             job.Team,
+		Groups:           job.Groups(),
+		Class:            job.ClassGroup,
+		Resources:        cluster.ResourcesOf(spec),
+		Constraints:      cluster.ConstraintsOf(spec),
+		Types:            s.typeSet(spec),
+		Image:            spec.Image,
+		ImageGB:          spec.ImageGB,
+		LongFetchS:       s.longFetchS(job),
+		OneZone:          spec.OneZone,
+		Spread:           spec.Spread,
+		Tasks:            spec.Tasks,
+		ExcludedMachines: job.ExcludedMachines(),
+		Prediction:       s.contentionTask(spec, 0),
 	}
 	if spec.OneZone || spec.Spread {
 		view.Zones = job.ZoneCounts()
--- a/internal/coordination/scheduler/preemption_view.go
+++ b/internal/coordination/scheduler/preemption_view.go
@@ -121,18 +121,18 @@
 func (s *Scheduler) preemptionJob(job *cluster.Job, now time.Time) preemption.Job {
 	deadline, _ := job.Deadline()
 	return preemption.Job{
-		Team:           job.Team,
-		Urgency:        job.Urgency(),
-		Resources:      cluster.ResourcesOf(job.Spec),
-		Constraints:    cluster.ConstraintsOf(job.Spec),
-		ReadyAt:        job.ReadySince(),
-		Deadline:       deadline,
-		EstimateS:      s.EstimateS(job.Spec),
-		Pending:        len(job.Pending),
-		Service:        job.Spec.Service,
-		NonPreempting:  !mayPreempt(job, now),
-		FailedMachines: job.FailedMachines,
-		Groups:         job.Groups(),
+		Team:             job.Team,
+		Urgency:          job.Urgency(),
+		Resources:        cluster.ResourcesOf(job.Spec),
+		Constraints:      cluster.ConstraintsOf(job.Spec),
+		ReadyAt:          job.ReadySince(),
+		Deadline:         deadline,
+		EstimateS:        s.EstimateS(job.Spec),
+		Pending:          len(job.Pending),
+		Service:          job.Spec.Service,
+		NonPreempting:    !mayPreempt(job, now),
+		ExcludedMachines: job.ExcludedMachines(),
+		Groups:           job.Groups(),
 	}
 }
 
--- a/internal/coordination/scheduler/reservation.go
+++ b/internal/coordination/scheduler/reservation.go
@@ -95,7 +95,7 @@
 	chunk := job.Chunk(task)
 	chunk.LastNumber = max(chunk.LastNumber, number)
 	attempt := &cluster.Attempt{Job: job, TaskIndex: task, Number: number, Machine: machine, Epoch: machine.Epoch}
-	job.LiveAttempts[task] = attempt
+	job.LiveAttempts[task], job.LastPlacedAt = attempt, now
 	machine.Attempts[cluster.AttemptKey(attempt.TaskName(), attempt.Number)] = attempt
 	p.Usage[job.Team].Add(cluster.ResourcesOf(job.Spec), 1)
 	machine.RecountUsed()
--- a/internal/coordination/test_controller_test.go
+++ b/internal/coordination/test_controller_test.go
@@ -23,8 +23,13 @@
 // newTestController returns a controller whose network does not answer until setNetwork
 // replaces it.
 func newTestController(ctx context.Context, set *settings.Settings, op settings.Operator) *Controller {
+	return newTestControllerWithLog(ctx, set, op, slog.New(slog.DiscardHandler))
+}
+
+// newTestControllerWithLog is newTestController with a log.
+func newTestControllerWithLog(ctx context.Context, set *settings.Settings, op settings.Operator, log *slog.Logger) *Controller {
 	network := &testNetwork{unresponsiveNetwork{}}
-	c := New(ctx, set, op, network, slog.New(slog.DiscardHandler))
+	c := New(ctx, set, op, network, log)
 	testNetworks.Store(c, network)
 	return c
 }
@@ -49,10 +54,16 @@
 // newLeadingController returns a controller that leads every partition and whose network does
 // not answer, and the partition of the team green.
 func newLeadingController(t testing.TB) (c *Controller, p *cluster.Partition) {
+	t.Helper()
+	return newLoggingController(t, slog.New(slog.DiscardHandler))
+}
+
+// newLoggingController is newLeadingController with a log.
+func newLoggingController(t testing.TB, log *slog.Logger) (c *Controller, p *cluster.Partition) {
 	t.Helper()
 	sim := newSimulatedCluster(t, 1)
 	sim.settings.Label = "n0"
-	c = newTestController(t.Context(), &sim.settings, settings.DefaultOperator())
+	c = newTestControllerWithLog(t.Context(), &sim.settings, settings.DefaultOperator(), log)
 	c.SetCatalog(sim.cloud.Types)
 	for _, p := range c.Partitions {
 		p.Leader, p.LeaseRevision, p.Held, p.Ready = "n0", 1, true, true
--- a/internal/coordination/tick.go
+++ b/internal/coordination/tick.go
@@ -34,12 +34,13 @@
 	}
 }
 
-// tickPartitions chooses the standby of each partition that this controller leads, and wakes the
-// partition's commit loop.
+// tickPartitions chooses the standby of each partition that this controller leads, reports its
+// waiting jobs, and wakes the partition's commit loop.
 func (c *Controller) tickPartitions(now time.Time) {
 	for _, p := range c.Partitions {
 		if p.Held && p.Ready {
 			c.takeover.ChooseStandby(p, now)
+			c.scheduler.ReportWaitingJobs(p, now)
 			p.Wake()
 		}
 	}
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -22,6 +22,7 @@
 	ShardMoved                         // shards that moved to another controller
 	MachineTokenRaised                 // writes of machine records that raised the machine's token
 	PartitionTokenRaised               // writes of token records, which raised the tokens of a partition's machines
+	MachineQuarantined                 // machines that were quarantined
 	eventCount
 )
 
@@ -29,7 +30,7 @@
 var eventNames = [eventCount]string{"requests_refused", "jobs_late", "attempts_failed", "attempts_stopped", "machines_lost", "machines_asked",
 	"rentals_refused", "commits_conflicting", "commits_unanswered", "leases_ended",
 	"takeovers_warm", "takeovers_cold", "copies_differing", "parts_handed_over", "shares_moved",
-	"machine_tokens_raised", "part_tokens_raised"}
+	"machine_tokens_raised", "part_tokens_raised", "machines_quarantined"}
 
 // metricName returns the name of an event's counter.
 func (e Event) metricName() string { return "micaspindle_" + eventNames[e] + "_total" }
