Retry machines on which a job failed, one task at a time

Cause: Job.FailedMachines was a ban without an end under one leader, in placement (fits) and in preemption (cheapestMachine). So that faulty jobs, which now come back, do no more harm: a job that failed on two machines places one task at a time, a task that failed twice waits behind the others, and such failures and retries no longer make a machine avoided or quarantined.

--- a/internal/coordination/agents/attempts.go
+++ b/internal/coordination/agents/attempts.go
@@ -18,16 +18,6 @@
 	// failedMachineBackoff is the time for which no task is started on a machine after a task
 	// failed there.
 	failedMachineBackoff = 10 * time.Second
-	// failingJobBackoff is the time for which a job that failed on several machines is not
-	// scheduled. The time doubles with each failure, up to failingJobBackoffMax.
-	failingJobBackoff    = time.Second
-	failingJobBackoffMax = time.Minute
-	// failureDoublingsLimit is the maximum number of doublings, so that the backoff does not
-	// overflow.
-	failureDoublingsLimit = 6
-	// failedMachinesLimit is the number of machines on which a job may fail before the job
-	// itself is considered faulty.
-	failedMachinesLimit = 2
 	// failedJobsLimit is the number of different jobs that may fail on a machine before it is
 	// quarantined.
 	failedJobsLimit = 2
@@ -68,6 +58,9 @@
 // handleTaskDone processes the completion of a task. The tasks of a service are started again.
 func (a *Agents) handleTaskDone(attempt *cluster.Attempt, now time.Time) {
 	job := attempt.Job
+	if attempt.PlacedAt.After(attempt.Machine.SoundAt) {
+		attempt.Machine.SoundAt = attempt.PlacedAt
+	}
 	if job.Spec.Service {
 		job.Requeue(attempt.TaskIndex)
 		return
@@ -75,7 +68,7 @@
 	if !attempt.StartedAt.IsZero() && !attempt.StartTimeUnknown() {
 		a.recordRunTime(attempt, now)
 	}
-	job.Failures = 0
+	job.RecordDone(attempt, now)
 	clear(attempt.Machine.FailedJobs)
 	if !job.TaskDone[attempt.TaskIndex] {
 		job.TaskDone[attempt.TaskIndex] = true
@@ -103,16 +96,14 @@
 func (a *Agents) handleTaskFailure(attempt *cluster.Attempt, now time.Time) {
 	job, machine := attempt.Job, attempt.Machine
 	job.Requeue(attempt.TaskIndex)
-	job.RecordFailure(machine, now)
-	machine.FailedJobs[job.Spec.ID] = true
-	machine.Avoid(now.Add(failedMachineBackoff), now)
-	a.metrics.Count(telemetry.AttemptFailed, 1)
-	if len(job.FailedMachines) >= failedMachinesLimit {
-		// The job is probably faulty and must not keep occupying machines.
-		job.BackoffUntil = now.Add(min(failingJobBackoffMax, failingJobBackoff<<min(job.Failures, failureDoublingsLimit)))
+	if job.RecordFailure(attempt, now) {
+		machine.FailedJobs[job.Spec.ID] = true
+		machine.Avoid(now.Add(failedMachineBackoff), now)
 	}
+	a.metrics.Count(telemetry.AttemptFailed, 1)
 	a.log.Info("task failed", "task", attempt.TaskName(), "machine", machine.Name, "count", job.Failures,
-		"machine_backoff", machine.AvoidUntil.Sub(now), "job_backoff", max(0, job.BackoffUntil.Sub(now)))
+		"retry_there_after", job.FailedMachines[machine.Name].RetryAt.Sub(now), "machine_backoff", max(0, machine.AvoidUntil.Sub(now)),
+		"job_backoff", max(0, job.BackoffUntil.Sub(now)))
 	if len(machine.FailedJobs) >= failedJobsLimit && !machine.Quarantined {
 		a.quarantine(machine, "different jobs fail on it", now)
 		for _, other := range machine.SortedAttempts() {
--- a/internal/coordination/cluster/attempt.go
+++ b/internal/coordination/cluster/attempt.go
@@ -29,6 +29,9 @@
 	// Epoch is the agent epoch that the attempt was committed for.
 	Epoch uint64
 	State AttemptState
+	// PlacedAt is the time at which this controller placed the attempt; zero if an earlier
+	// leader did.
+	PlacedAt time.Time
 
 	// Reported by the agent.
 
--- a/internal/coordination/cluster/job.go
+++ b/internal/coordination/cluster/job.go
@@ -66,12 +66,18 @@
 	// MayHaveDirtyChunk is set when a chunk becomes dirty, and cleared when HasDirtyChunk
 	// finds none.
 	MayHaveDirtyChunk bool
-	// Failures counts the failed attempts since a task was last done. No task is placed
-	// until BackoffUntil.
+	// Failures counts the failed attempts since a task was last done, at LastDoneAt. No task
+	// is placed until BackoffUntil.
 	Failures     int
+	LastDoneAt   time.Time
 	BackoffUntil time.Time
-	// FailedMachines are the failures of the job's attempts, by machine; nil if there are none.
+	// FailedMachines and FailedTasks are the recent failures of the job's attempts, by machine
+	// and by task index; nil if there are none.
 	FailedMachines map[string]*MachineFailures
+	FailedTasks    map[int]*TaskFailures
+	// NextTrialAt is the time until which no task is placed on a machine where the job failed
+	// and which has not been found sound since.
+	NextTrialAt time.Time
 	// LastPlacedAt is the time at which a task was last placed on a machine.
 	LastPlacedAt time.Time
 	// RunTimesS are the run times of done tasks in seconds, by machine; nil if no task is
@@ -88,7 +94,8 @@
 	j.HasRunState = true
 	j.TaskDone = make([]bool, j.Spec.Tasks)
 	j.DoneCount, j.RunningCount, j.Completing = 0, 0, false
-	j.LiveAttempts, j.Chunks, j.FailedMachines, j.RunTimesS = map[int]*Attempt{}, map[int]*RunChunk{}, nil, nil
+	j.LiveAttempts, j.Chunks, j.RunTimesS = map[int]*Attempt{}, map[int]*RunChunk{}, nil
+	j.FailedMachines, j.FailedTasks = nil, nil
 	j.Pending = make([]int, j.Spec.Tasks)
 	for task := range j.Pending {
 		j.Pending[task] = task
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -121,6 +121,8 @@
 	// FailedJobs are the ids of jobs that failed on the machine since a task was last done
 	// on it.
 	FailedJobs map[string]bool
+	// SoundAt is the time at which the latest placed of the done tasks was placed.
+	SoundAt time.Time
 	// SlowTasks counts the consecutive tasks that ran far longer than their job's tasks on
 	// other machines.
 	SlowTasks int
--- a/internal/coordination/peering/demand.go
+++ b/internal/coordination/peering/demand.go
@@ -25,7 +25,7 @@
 		if len(job.Pending) == 0 || job.Ended || now.Before(job.BackoffUntil) {
 			continue
 		}
-		count := e.countWithinTeamLimit(partition, job, taken[job.Team])
+		count := e.countWithinTeamLimit(partition, job, taken[job.Team], now)
 		if count <= 0 {
 			continue
 		}
@@ -45,8 +45,8 @@
 // countWithinTeamLimit returns the number of a job's waiting tasks that may start within the team's
 // limits. These limits are reduced by the team's usage and by taken, the resources for jobs handled
 // before.
-func (e *Exchange) countWithinTeamLimit(partition *cluster.Partition, job *cluster.Job, taken binpack.TeamResources) int {
-	count := len(job.Pending)
+func (e *Exchange) countWithinTeamLimit(partition *cluster.Partition, job *cluster.Job, taken binpack.TeamResources, now time.Time) int {
+	count := job.ReadyTasks(now)
 	team, used := e.Settings.Params.Teams[job.Team], partition.Usage[job.Team]
 	if team.CPUsMax > 0 && job.Spec.CPUs > 0 {
 		count = min(count, int((team.CPUsMax-used.CPUs-taken.CPUs+binpack.Epsilon)/job.Spec.CPUs))
--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -41,12 +41,17 @@
 		job.Constraints.Allows(m.Kind) &&
 		(zones == nil || ZoneAllowed(job.OneZone, job.Spread, job.Tasks, zones, m.Kind.Zone)) &&
 		!job.ExcludedMachines[m.Name] &&
+		!(r.lastChoiceUsed && job.LastChoiceMachines[m.Name]) &&
 		(m.ReservedFor == fairshare.NoGroup || slices.Contains(job.Groups[:], m.ReservedFor))
 }
 
-// preferred filters machines by the three preferences that take precedence over contention
+// preferred filters machines by the preferences that take precedence over contention
 // (docs/design.md). It reuses the slice.
 func (r *round) preferred(machines []int, job *Job) []int {
+	// Avoid machines on which the job failed.
+	if len(job.LastChoiceMachines) > 0 {
+		machines = prefer(machines, func(machine int) bool { return !job.LastChoiceMachines[r.Machines[machine].Name] })
+	}
 	// Avoid machine types that are contested by jobs that fit fewer types.
 	typeCount := binpack.TypeCount(job.Types)
 	machines = prefer(machines, func(machine int) bool {
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -73,6 +73,9 @@
 	Zones map[string]int
 	// ExcludedMachines are the names of machines on which no task of the job may start.
 	ExcludedMachines map[string]bool
+	// LastChoiceMachines are the names of machines on which one task of the job, or a gang, may
+	// start in a round if it fits on no other machine.
+	LastChoiceMachines map[string]bool
 	// Prediction describes a newly started task of the job for the contention prediction.
 	Prediction contention.Task
 }
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -57,6 +57,17 @@
 			v.Jobs[0].Types = 3
 		}, Plan{Assignments: []Assignment{{0, 1}}}},
 		"machine where the job failed": {func(v *View, d *fakeDetails) { v.Jobs[0].ExcludedMachines = map[string]bool{"a": true} }, Plan{Assignments: []Assignment{{0, 1}}}},
+		"machine where the job failed, tried again as the last choice": {func(v *View, d *fakeDetails) {
+			v.Jobs[0].LastChoiceMachines, d.running = map[string]bool{"a": true}, [][]contention.Task{nil, busy}
+		}, Plan{Assignments: []Assignment{{0, 1}}}},
+		"machine where the job failed, tried again with one task": {func(v *View, d *fakeDetails) {
+			v.Jobs = []Job{job(9, 2), job(1, 2)}
+			v.Jobs[0].LastChoiceMachines = map[string]bool{"a": true}
+		}, Plan{Assignments: []Assignment{{0, 1}, {0, 1}, {0, 1}, {0, 1}, {0, 0}, {1, 0}}}},
+		"machines where a gang failed, tried again with all of its tasks": {func(v *View, d *fakeDetails) {
+			v.Jobs[0] = job(4, 4)
+			v.Jobs[0].Gang, v.Jobs[0].LastChoiceMachines = true, map[string]bool{"a": true, "b": true}
+		}, Plan{Assignments: []Assignment{{0, 0}, {0, 0}, {0, 1}, {0, 1}}}},
 		"team limit": {func(v *View, d *fakeDetails) {
 			v.Jobs[0].Pending, v.Teams[0] = 3, Team{Limit: binpack.TeamResources{CPUs: 8}, Used: binpack.TeamResources{CPUs: 3.5}}
 		}, Plan{Assignments: []Assignment{{0, 0}, {0, 0}}}},
--- a/internal/coordination/placement/round.go
+++ b/internal/coordination/placement/round.go
@@ -21,7 +21,10 @@
 	unplaceable map[taskShape]bool
 	// hasReservations reports whether any machine is reserved for a group.
 	hasReservations bool
-	plan            Plan
+	// lastChoiceUsed is set once a task of the present job was placed on one of its last-choice
+	// machines, of which it may use no more in this round. It does not hold for gangs.
+	lastChoiceUsed bool
+	plan           Plan
 
 	// Buffers that choose reuses in each call.
 	fitting    []int
@@ -68,11 +71,12 @@
 func (r *round) placeTasks(jobIndex int) {
 	job := &r.Jobs[jobIndex]
 	shape := r.shape(job)
-	shapeSuffices := !job.zoneConstrained() && len(job.ExcludedMachines) == 0
+	shapeSuffices := !job.zoneConstrained() && len(job.ExcludedMachines) == 0 && len(job.LastChoiceMachines) == 0
 	if shapeSuffices && r.unplaceable[shape] {
 		return
 	}
 	zones := zoneCounts(job)
+	r.lastChoiceUsed = false
 	for range job.Pending {
 		if !r.teams[job.Team].allows(job) {
 			return
@@ -85,6 +89,7 @@
 			return
 		}
 		r.assign(jobIndex, machine, zones)
+		r.lastChoiceUsed = r.lastChoiceUsed || job.LastChoiceMachines[r.Machines[machine].Name]
 	}
 }
 
@@ -101,6 +106,7 @@
 func (r *round) placeGang(jobIndex int) {
 	job := &r.Jobs[jobIndex]
 	zones := zoneCounts(job)
+	r.lastChoiceUsed = false
 	first := len(r.plan.Assignments)
 	statesBefore, teamBefore := slices.Clone(r.machineStates), r.teams[job.Team].clone()
 	for range job.Pending {
--- a/internal/coordination/preemption/preemption.go
+++ b/internal/coordination/preemption/preemption.go
@@ -64,6 +64,9 @@
 	DisallowedZones map[string]bool
 	// ExcludedMachines are the names of machines on which no task of the job may start.
 	ExcludedMachines map[string]bool
+	// LastChoiceMachines are the names of machines on which one task of the job may start if no
+	// other machine can be freed.
+	LastChoiceMachines map[string]bool
 	// Groups are the job's fair-share groups.
 	Groups [2]int
 }
--- a/internal/coordination/preemption/preemption_test.go
+++ b/internal/coordination/preemption/preemption_test.go
@@ -60,12 +60,16 @@
 		change func(*View)
 		want   []Preemption
 	}{
-		"least lost work":                             {func(v *View) {}, []Preemption{{Task: 1}}},
-		"job that can still wait":                     {func(v *View) { v.Jobs[0].Deadline = now.Add(time.Minute) }, nil},
-		"job that is already late":                    {func(v *View) { v.Jobs[0].Deadline = now.Add(9 * time.Second) }, nil},
-		"job without a deadline after maxWait":        {func(v *View) { v.Jobs[0].Deadline, v.Jobs[0].ReadyAt = time.Time{}, now.Add(-16*time.Second) }, []Preemption{{Task: 1}}},
-		"gang":                                        {func(v *View) { v.Jobs[0].NonPreempting = true }, nil},
-		"machine where the job failed":                {func(v *View) { v.Jobs[0].ExcludedMachines = map[string]bool{"m-2": true} }, []Preemption{{Task: 0}}},
+		"least lost work":                           {func(v *View) {}, []Preemption{{Task: 1}}},
+		"job that can still wait":                   {func(v *View) { v.Jobs[0].Deadline = now.Add(time.Minute) }, nil},
+		"job that is already late":                  {func(v *View) { v.Jobs[0].Deadline = now.Add(9 * time.Second) }, nil},
+		"job without a deadline after maxWait":      {func(v *View) { v.Jobs[0].Deadline, v.Jobs[0].ReadyAt = time.Time{}, now.Add(-16*time.Second) }, []Preemption{{Task: 1}}},
+		"gang":                                      {func(v *View) { v.Jobs[0].NonPreempting = true }, nil},
+		"machine where the job failed":              {func(v *View) { v.Jobs[0].ExcludedMachines = map[string]bool{"m-2": true} }, []Preemption{{Task: 0}}},
+		"machine where the job failed, tried again": {func(v *View) { v.Jobs[0].LastChoiceMachines = map[string]bool{"m-2": true} }, []Preemption{{Task: 0}}},
+		"one task on machines where the job failed": {func(v *View) {
+			v.Jobs[0].Pending, v.Jobs[0].LastChoiceMachines = 3, map[string]bool{"m-1": true, "m-2": true}
+		}, []Preemption{{Task: 1}}},
 		"closed zone":                                 {func(v *View) { v.Jobs[0].DisallowedZones = map[string]bool{"": true} }, nil},
 		"lost work above the maximum":                 {func(v *View) { v.Tasks[0].LostWork, v.Tasks[1].LostWork = 41, 41 }, nil},
 		"stopping task suffices":                      {func(v *View) { v.Tasks[1].Stopping = true }, nil},
--- a/internal/coordination/preemption/round.go
+++ b/internal/coordination/preemption/round.go
@@ -50,6 +50,9 @@
 		for _, task := range cheapest.tasks {
 			r.preempt(task, jobIndex, false)
 		}
+		if cheapest.lastChoice {
+			return // the job tries one such machine at a time
+		}
 	}
 }
 
@@ -59,10 +62,20 @@
 	tasks   []int
 	// lostWork is the sum of the LostWork of the tasks, in CPU seconds.
 	lostWork float64
+	// lastChoice is set if the machine is one of the job's last-choice machines.
+	lastChoice bool
+}
+
+// cheaperThan reports whether preempting the victims is better than preempting others.
+func (s *victimSet) cheaperThan(other *victimSet) bool {
+	if s.lastChoice != other.lastChoice {
+		return other.lastChoice
+	}
+	return s.lostWork < other.lostWork
 }
 
 // cheapestMachine returns the victims on the machine where starting one task of a job loses the
-// least work. The first machine wins a tie. The result has no tasks if enough tasks are already
+// least work, on a last-choice machine only if there is no other. The first machine wins a tie. The result has no tasks if enough tasks are already
 // stopping on the machine.
 func (r *round) cheapestMachine(job *Job, guaranteed bool) (cheapest victimSet, found bool) {
 	for i := range r.Machines {
@@ -71,7 +84,7 @@
 			continue
 		}
 		candidate, possible := r.selectVictims(i, job, guaranteed)
-		if possible && (!found || candidate.lostWork < cheapest.lostWork) {
+		if possible && (!found || candidate.cheaperThan(&cheapest)) {
 			cheapest, found = candidate, true
 		}
 	}
@@ -82,7 +95,7 @@
 // work. It reports whether the task then fits and no more than maxLostWork is lost.
 func (r *round) selectVictims(machine int, job *Job, guaranteed bool) (victimSet, bool) {
 	free, candidates := r.preemptibleTasks(machine, job, guaranteed)
-	result := victimSet{machine: machine}
+	result := victimSet{machine: machine, lastChoice: job.LastChoiceMachines[r.Machines[machine].Name]}
 	for _, task := range candidates {
 		if free.Holds(job.Resources) {
 			break
--- a/internal/coordination/replication/replica_job.go
+++ b/internal/coordination/replication/replica_job.go
@@ -21,7 +21,8 @@
 // AttachTo sets the job's run state to the recorded one, for the partition's new leader, and returns
 // the number of live attempts. The job owns the state from then on.
 func (j *ReplicaJob) AttachTo(job *cluster.Job, now time.Time) (live int) {
-	job.HasRunState, job.RunningCount, job.Completing, job.FailedMachines, job.RunTimesS = true, 0, false, nil, nil
+	job.HasRunState, job.RunningCount, job.Completing, job.RunTimesS = true, 0, false, nil
+	job.FailedMachines, job.FailedTasks = nil, nil
 	job.LiveAttempts, job.Chunks, job.Pending = j.Live, j.chunks, nil
 	j.setDoneTasks(job)
 	j.attachAttempts(job, now)
--- a/internal/coordination/safety_checks_test.go
+++ b/internal/coordination/safety_checks_test.go
@@ -105,6 +105,7 @@
 // Started checks the safety rules at the moment a task starts on its machine.
 func (sim *simulatedCluster) Started(agent *agent.Agent, t *agent.Task) {
 	submitted, index := sim.jobs[t.Job], t.Index
+	submitted.starts++
 	s := submitted.spec
 	for _, dep := range s.Dependencies {
 		if dependency := sim.jobs[dep]; len(dependency.tasksDone) < dependency.spec.Tasks {
--- a/internal/coordination/scheduler/placement.go
+++ b/internal/coordination/scheduler/placement.go
@@ -65,11 +65,15 @@
 		if len(job.Pending) == 0 || job.Ended || s.FinalStates[job.Spec.ID] != "" || now.Before(job.BackoffUntil) {
 			continue
 		}
+		ready := job.ReadyTasks(now)
+		if ready == 0 {
+			continue
+		}
 		if job.Spec.Gang && len(job.LiveAttempts) > 0 {
 			continue // the gang's previous attempts are still on their machines
 		}
 		buffers.jobs = append(buffers.jobs, job)
-		buffers.jobViews = append(buffers.jobViews, s.placementView(job))
+		buffers.jobViews = append(buffers.jobViews, s.placementView(job, ready, now))
 	}
 }
 
@@ -104,26 +108,29 @@
 	return teams
 }
 
-// placementView converts a job to the input of placement.Decide.
-func (s *Scheduler) placementView(job *cluster.Job) placement.Job {
+// placementView converts a job, of which the first ready pending tasks may start, to the input of
+// placement.Decide.
+func (s *Scheduler) placementView(job *cluster.Job, ready int, now time.Time) placement.Job {
 	spec := job.Spec
+	excluded, lastChoice := job.MachineExclusions(now)
 	view := placement.Job{
-		Pending:          len(job.Pending),
-		Gang:             spec.Gang,
-		Team:             job.Team,
-		Groups:           job.Groups(),
-		Class:            job.ClassGroup,
-		Resources:        cluster.ResourcesOf(spec),
-		Constraints:      cluster.ConstraintsOf(spec),
-		Types:            s.typeSet(spec),
-		Image:            spec.Image,
-		ImageGB:          spec.ImageGB,
-		LongFetchS:       s.longFetchS(job),
-		OneZone:          spec.OneZone,
-		Spread:           spec.Spread,
-		Tasks:            spec.Tasks,
-		ExcludedMachines: job.ExcludedMachines(),
-		Prediction:       s.contentionTask(spec, 0),
+		Pending:            ready,
+		Gang:               spec.Gang,
+		Team:               job.Team,
+		Groups:             job.Groups(),
+		Class:              job.ClassGroup,
+		Resources:          cluster.ResourcesOf(spec),
+		Constraints:        cluster.ConstraintsOf(spec),
+		Types:              s.typeSet(spec),
+		Image:              spec.Image,
+		ImageGB:            spec.ImageGB,
+		LongFetchS:         s.longFetchS(job),
+		OneZone:            spec.OneZone,
+		Spread:             spec.Spread,
+		Tasks:              spec.Tasks,
+		ExcludedMachines:   excluded,
+		LastChoiceMachines: lastChoice,
+		Prediction:         s.contentionTask(spec, 0),
 	}
 	if spec.OneZone || spec.Spread {
 		view.Zones = job.ZoneCounts()
--- a/internal/coordination/scheduler/preemption_view.go
+++ b/internal/coordination/scheduler/preemption_view.go
@@ -120,19 +120,21 @@
 // preemptionJob converts a job to the input of preemption.Decide, without DisallowedZones.
 func (s *Scheduler) preemptionJob(job *cluster.Job, now time.Time) preemption.Job {
 	deadline, _ := job.Deadline()
+	excluded, lastChoice := job.MachineExclusions(now)
 	return preemption.Job{
-		Team:             job.Team,
-		Urgency:          job.Urgency(),
-		Resources:        cluster.ResourcesOf(job.Spec),
-		Constraints:      cluster.ConstraintsOf(job.Spec),
-		ReadyAt:          job.ReadySince(),
-		Deadline:         deadline,
-		EstimateS:        s.EstimateS(job.Spec),
-		Pending:          len(job.Pending),
-		Service:          job.Spec.Service,
-		NonPreempting:    !mayPreempt(job, now),
-		ExcludedMachines: job.ExcludedMachines(),
-		Groups:           job.Groups(),
+		Team:               job.Team,
+		Urgency:            job.Urgency(),
+		Resources:          cluster.ResourcesOf(job.Spec),
+		Constraints:        cluster.ConstraintsOf(job.Spec),
+		ReadyAt:            job.ReadySince(),
+		Deadline:           deadline,
+		EstimateS:          s.EstimateS(job.Spec),
+		Pending:            job.ReadyTasks(now),
+		Service:            job.Spec.Service,
+		NonPreempting:      !mayPreempt(job, now),
+		ExcludedMachines:   excluded,
+		LastChoiceMachines: lastChoice,
+		Groups:             job.Groups(),
 	}
 }
 
--- a/internal/coordination/scheduler/reservation.go
+++ b/internal/coordination/scheduler/reservation.go
@@ -94,8 +94,9 @@
 func (s *Scheduler) Reserve(p *cluster.Partition, job *cluster.Job, task int, number uint64, machine *cluster.Machine, now time.Time) {
 	chunk := job.Chunk(task)
 	chunk.LastNumber = max(chunk.LastNumber, number)
-	attempt := &cluster.Attempt{Job: job, TaskIndex: task, Number: number, Machine: machine, Epoch: machine.Epoch}
-	job.LiveAttempts[task], job.LastPlacedAt = attempt, now
+	attempt := &cluster.Attempt{Job: job, TaskIndex: task, Number: number, Machine: machine, Epoch: machine.Epoch, PlacedAt: now}
+	job.LiveAttempts[task] = attempt
+	job.RecordPlacement(machine, now)
 	machine.Attempts[cluster.AttemptKey(attempt.TaskName(), attempt.Number)] = attempt
 	p.Usage[job.Team].Add(cluster.ResourcesOf(job.Spec), 1)
 	machine.RecountUsed()
--- a/internal/coordination/scheduler/waiting_jobs.go
+++ b/internal/coordination/scheduler/waiting_jobs.go
@@ -129,8 +129,8 @@
 		}
 		return excluded
 	}
-	if failures := job.FailedMachines[machine.Name]; failures != nil {
-		return exclusion{reason: excludedFailed, since: failures.LastAt}
+	if failures := job.FailedMachines[machine.Name]; failures != nil && now.Before(job.ExcludedUntil(failures)) {
+		return exclusion{reason: excludedFailed, since: failures.LastAt, until: job.ExcludedUntil(failures)}
 	}
 	spec := job.Spec
 	switch {
--- a/internal/coordination/simulated_cluster_test.go
+++ b/internal/coordination/simulated_cluster_test.go
@@ -102,6 +102,7 @@
 	cancelledAt     time.Time
 	finalStatus     string
 	tasksDone       map[int]bool
+	starts          int // number of attempts that agents have started
 }
 
 // allControllers are the labels of the controllers. The slice must not be modified.
