Tests: failed tasks no longer excuse a job that waits beside room

Change: the check ends that fault like all others and then holds jobs to the same 90 s. Random plans draw spells of sick machines, on a generator of their own, so that the former plans stay as they were.

--- a/internal/coordination/fault_injection_test.go
+++ b/internal/coordination/fault_injection_test.go
@@ -42,6 +42,8 @@
 	// Heartbeats from inboundLost machines arrive, but responses and commands to them are lost.
 	// Heartbeats from outboundLost machines are lost, but commands reach them.
 	inboundLost, outboundLost map[string]bool
+	// sickMachines fail every task that ends.
+	sickMachines map[string]bool
 	// suppressNotices removes the cancellation notices from summaries between controllers.
 	suppressNotices bool
 	// cancelAtEnd, if set, reports whether a job is to be cancelled when its last task ends.
--- a/internal/coordination/liveness_check_test.go
+++ b/internal/coordination/liveness_check_test.go
@@ -11,7 +11,8 @@
 
 // The liveness properties that must hold at the end of every test, after all faults have ended:
 // status requests for accepted jobs are answered, and no job waits while a suitable machine has
-// free resources and its team is below its quota.
+// free resources and its team is below its quota. Failed tasks are no exception, since every pause
+// that follows from them ends within maxStartDelay (rule 57).
 const (
 	// maxAnswerDelay is the maximum time for which status requests for an accepted job may be
 	// unanswered.
@@ -27,7 +28,7 @@
 		sim.state.RefusedClients, sim.state.WatchesStuck = nil, false
 		sim.dropsMessage, sim.cuts, sim.onRequest, sim.onResponse, sim.interceptCommands = nil, networkCuts{}, nil, nil, nil
 		sim.messageFaultRate, sim.lateTransactionRate, sim.duplicatedHeartbeatRate, sim.delayedCommands, sim.linkDelayMax = 0, 0, 0, nil, 0
-		sim.copiedCommands, sim.refuseStart = nil, nil
+		sim.copiedCommands, sim.refuseStart, sim.taskFails, sim.sickMachines = nil, nil, nil, nil
 		sim.inboundLost, sim.outboundLost, sim.suppressNotices, sim.cancelAtEnd = nil, nil, false, nil
 		for _, agent := range sim.agents {
 			agent.Hung = false
@@ -115,9 +116,6 @@
 // starvedJobs returns the jobs that wait although resources are free. The lock is held.
 func (sim *simulatedCluster) starvedJobs() map[starvedJob]bool {
 	starved := map[starvedJob]bool{}
-	if sim.taskFails != nil {
-		return starved // jobs with failed tasks wait because of their backoff
-	}
 	names := slices.Sorted(maps.Keys(sim.agents))
 	used := map[string]float64{}
 	perZone := map[string]map[string]int{} // number of tasks by job and zone
--- a/internal/coordination/planned_faults_test.go
+++ b/internal/coordination/planned_faults_test.go
@@ -64,10 +64,11 @@
 	faultLostCommandAnswers     faultKind = "lost command answers"
 	faultCopiedCommands         faultKind = "copied commands" // copies of commands that were carried out arrive later
 	faultSlowLinks              faultKind = "slow links"
+	faultSickMachines           faultKind = "sick machines" // machines fail every task
 )
 
 // faultKinds are the kinds that random plans draw from; late commands are drawn twice as often.
-// Copied commands are drawn apart, by addCopiedCommands.
+// Copied commands and sick machines are drawn apart, by addCopiedCommands and addSickMachines.
 var faultKinds = []faultKind{
 	faultLateTransactions, faultLostTransactionAnswers, faultLateHeartbeats, faultReplayedHeartbeats,
 	faultInboundLost, faultOutboundLost, faultStateStoreRefusal, faultCutFromAllButAgents,
@@ -212,6 +213,9 @@
 	faultLostCommandAnswers: (*simulatedCluster).injectLateCommands,
 	faultCopiedCommands:     (*simulatedCluster).injectCopiedCommands,
 	faultSlowLinks:          (*simulatedCluster).injectSlowLinks,
+	faultSickMachines: func(sim *simulatedCluster, fault plannedFault) {
+		sim.markMachinesDuring(fault, &sim.sickMachines)
+	},
 }
 
 // controller returns the label of the affected controller.
--- a/internal/coordination/random_concurrent_faults_test.go
+++ b/internal/coordination/random_concurrent_faults_test.go
@@ -30,7 +30,7 @@
 			plan = append(plan, fault)
 		}
 	}
-	plan = addCopiedCommands(plan, seed)
+	plan = addSickMachines(addCopiedCommands(plan, seed), seed)
 	slices.SortStableFunc(plan, func(a, b plannedFault) int { return int(a.At - b.At) })
 	return plan
 }
@@ -49,6 +49,21 @@
 	return plan
 }
 
+// addSickMachines adds spells in which machines fail every task to about a third of the groups of a
+// plan.
+func addSickMachines(plan []plannedFault, seed uint64) []plannedFault {
+	rng := rand.New(rand.NewPCG(seed, 80))
+	for group := range 5 {
+		if rng.IntN(3) > 0 {
+			continue
+		}
+		at := time.Duration(5+group*22)*time.Second + time.Duration(rng.IntN(12_000))*time.Millisecond
+		plan = append(plan, plannedFault{Kind: faultSickMachines, At: at, For: time.Duration(3000+rng.IntN(20_000)) * time.Millisecond,
+			Arg: rng.IntN(1000), Share: 0.1 + 0.7*rng.Float64()})
+	}
+	return plan
+}
+
 // runFaultPlan injects a plan's faults while users submit, poll and cancel jobs.
 func runFaultPlan(sim *simulatedCluster, seed uint64, plan []plannedFault) {
 	rng := rand.New(rand.NewPCG(seed, 78))
--- a/internal/coordination/simulated_agents_test.go
+++ b/internal/coordination/simulated_agents_test.go
@@ -146,7 +146,7 @@
 
 // Fails reports whether a task fails on a machine.
 func (sim *simulatedCluster) Fails(job string, task int, machine string) bool {
-	return sim.taskFails != nil && sim.taskFails(job, task, machine)
+	return sim.sickMachines[machine] || sim.taskFails != nil && sim.taskFails(job, task, machine)
 }
 
 // Ended records that a task is done, and cancels its job if cancelAtEnd selects it.
