Fair share: reserve nothing that the starved job's failures keep it from using

Cause: starvedJobs and allocateSlots did not know where a job had failed or that it was held back. A machine, or a part of a team's limit, was reserved for a starved group whose only waiting job could not use it, and kept from others. Change: machines where the job failed count as unusable for both, and tasks that failures hold back are not counted. The check for a reservation for another group stands once (waiting_jobs.go had its own).

--- a/internal/coordination/cluster/failures.go
+++ b/internal/coordination/cluster/failures.go
@@ -158,6 +158,17 @@
 	return excluded, lastChoice
 }
 
+// SuspectMachines returns the names of the machines that the job can't count on: those on which no
+// task of it may start now, and its last choices; nil if there are none.
+func (j *Job) SuspectMachines(now time.Time) map[string]bool {
+	excluded, lastChoice := j.MachineExclusions(now)
+	if excluded == nil {
+		return lastChoice
+	}
+	maps.Copy(excluded, lastChoice)
+	return excluded
+}
+
 // ExcludedUntil returns the time until which no task of the job may start on a machine where it
 // failed. As long as nothing has refuted the suspicion, the job tries one such machine at a time.
 func (j *Job) ExcludedUntil(failures *MachineFailures) time.Time {
--- a/internal/coordination/fairshare/fairshare_test.go
+++ b/internal/coordination/fairshare/fairshare_test.go
@@ -44,6 +44,11 @@
 		"a single machine is not reserved":             {func(v *View) { v.Machines = v.Machines[:1] }, []int{}},
 		"one of two machines even if slightly starved": {func(v *View) { v.Machines = v.Machines[:2]; v.Groups[large] = Group{Open: 10, Starved: 7, Done: 90} }, []int{0}},
 		"no machine that its constraints exclude":      {func(v *View) { v.Jobs[0].Constraints.Types = []string{"other"} }, []int{}},
+		"no machine where its only job failed":         {func(v *View) { v.Jobs[0].SuspectMachines = map[string]bool{"m-00": true, "m-02": true} }, []int{1, 3, 4, 5}},
+		"a machine where only one of its jobs failed": {func(v *View) {
+			v.Jobs[0].SuspectMachines = map[string]bool{"m-00": true}
+			v.Jobs = append(v.Jobs, Job{Class: large, Resources: binpack.Resources{CPUs: 16}, Pending: 1})
+		}, []int{0, 1, 2, 3, 4}},
 		"nothing if it uses most of the machines": {func(v *View) {
 			for i := range 6 {
 				v.Machines[i].UsedCPUs = map[int]float64{large: 32}
--- a/internal/coordination/fairshare/reserve.go
+++ b/internal/coordination/fairshare/reserve.go
@@ -20,6 +20,9 @@
 	Resources   binpack.Resources
 	Constraints binpack.Constraints
 	Pending     int
+	// SuspectMachines are the names of machines on which no task of the job, or only one to try
+	// them, may start now. None is reserved for the job.
+	SuspectMachines map[string]bool
 }
 
 // Machine is a machine on which tasks may be placed.
@@ -98,7 +101,7 @@
 	for i := range v.Machines {
 		machine := &v.Machines[i]
 		fits := func(job *Job) bool {
-			return machine.Size.Holds(job.Resources) && job.Constraints.Allows(machine.Kind)
+			return machine.Size.Holds(job.Resources) && job.Constraints.Allows(machine.Kind) && !job.SuspectMachines[machine.Name]
 		}
 		if slices.ContainsFunc(jobs, fits) {
 			d.machines = append(d.machines, i)
--- a/internal/coordination/scheduler/fair_share.go
+++ b/internal/coordination/scheduler/fair_share.go
@@ -74,11 +74,12 @@
 			continue
 		}
 		jobs = append(jobs, fairshare.Job{
-			Class:       job.ClassGroup,
-			Team:        cluster.TeamGroup(job.Team),
-			Resources:   cluster.ResourcesOf(job.Spec),
-			Constraints: cluster.ConstraintsOf(job.Spec),
-			Pending:     len(job.Pending),
+			Class:           job.ClassGroup,
+			Team:            cluster.TeamGroup(job.Team),
+			Resources:       cluster.ResourcesOf(job.Spec),
+			Constraints:     cluster.ConstraintsOf(job.Spec),
+			Pending:         job.ReadyTasks(now),
+			SuspectMachines: job.SuspectMachines(now),
 		})
 	}
 	return jobs
--- a/internal/coordination/scheduler/quota.go
+++ b/internal/coordination/scheduler/quota.go
@@ -55,21 +55,26 @@
 		}
 		use := wanted[teamClass(job)]
 		use.Class = job.ClassGroup
-		use.Wanted.Add(cluster.ResourcesOf(job.Spec), float64(allocateSlots(job, machines, free)))
+		use.Wanted.Add(cluster.ResourcesOf(job.Spec), float64(allocateSlots(job, machines, free, now)))
 		wanted[teamClass(job)] = use
 	}
 	return wanted
 }
 
-// allocateSlots returns the number of a job's pending tasks that fit on machines, and subtracts the
-// resources of these tasks from free.
-func allocateSlots(job *cluster.Job, machines []*cluster.Machine, free map[*cluster.Machine]binpack.Resources) int {
+// allocateSlots returns the number of a job's pending tasks that may start now on machines that the
+// job can count on, and subtracts the resources of these tasks from free.
+func allocateSlots(job *cluster.Job, machines []*cluster.Machine, free map[*cluster.Machine]binpack.Resources, now time.Time) int {
+	if now.Before(job.BackoffUntil) {
+		return 0
+	}
 	taken, need, constraints := 0, cluster.ResourcesOf(job.Spec), cluster.ConstraintsOf(job.Spec)
+	ready := job.ReadyTasks(now)
+	suspect := job.SuspectMachines(now)
 	for _, machine := range machines {
-		if reservedForOthers(machine, job) || !constraints.Allows(cluster.MachineKindOf(machine.Record)) {
+		if suspect[machine.Name] || reservedForOthers(machine, job) || !constraints.Allows(cluster.MachineKindOf(machine.Record)) {
 			continue
 		}
-		slots := free[machine].Slots(need, len(job.Pending)-taken)
+		slots := free[machine].Slots(need, ready-taken)
 		taken += slots
 		free[machine] = free[machine].Plus(need, -float64(slots))
 	}
--- a/internal/coordination/scheduler/waiting_jobs.go
+++ b/internal/coordination/scheduler/waiting_jobs.go
@@ -9,7 +9,6 @@
 
 	"micaspindle/internal/coordination/binpack"
 	"micaspindle/internal/coordination/cluster"
-	"micaspindle/internal/coordination/fairshare"
 	"micaspindle/internal/coordination/placement"
 )
 
@@ -138,17 +137,12 @@
 		return exclusion{reason: excludedZone}
 	case !machine.Free().Holds(cluster.ResourcesOf(spec)):
 		return exclusion{reason: excludedRoom}
-	case machine.ReservedFor != fairshare.NoGroup && !slices.Contains(groupsOf(job), machine.ReservedFor):
+	case reservedForOthers(machine, job):
 		return exclusion{reason: excludedGroup}
 	}
 	return exclusion{}
 }
 
-func groupsOf(job *cluster.Job) []int {
-	groups := job.Groups()
-	return groups[:]
-}
-
 // isFailure reports whether a machine is excluded because of failures of tasks.
 func (e exclusion) isFailure() bool {
 	return e.reason == excludedFailed || e.reason == exclusionReason(cluster.BlockQuarantined) || e.reason == exclusionReason(cluster.BlockAvoided)
