Use slow machines that stay in use again, as the last choice

Cause: a machine that is quarantined because tasks take far longer there lets its tasks run on and is returned only when idle. A failing machine's quarantine stays as it is.

--- a/internal/coordination/agents/attempts.go
+++ b/internal/coordination/agents/attempts.go
@@ -83,7 +83,7 @@
 	runTimeS := now.Sub(attempt.StartedAt).Seconds()
 	a.scheduler.LearnRunTime(job.Spec.Class, runTimeS, job.Spec.EstimateS)
 	a.detectSlowMachine(attempt, runTimeS, now)
-	if !attempt.Slow {
+	if !attempt.Slow && !machine.Quarantined {
 		machine.SlowTasks = 0
 	}
 	if job.RunTimesS == nil {
@@ -104,18 +104,25 @@
 	a.log.Info("task failed", "task", attempt.TaskName(), "machine", machine.Name, "count", job.Failures,
 		"retry_there_after", job.FailedMachines[machine.Name].RetryAt.Sub(now), "machine_backoff", max(0, machine.AvoidUntil.Sub(now)),
 		"job_backoff", max(0, job.BackoffUntil.Sub(now)))
-	if len(machine.FailedJobs) >= failedJobsLimit && !machine.Quarantined {
+	if len(machine.FailedJobs) >= failedJobsLimit && !machine.QuarantinedAsFaulty() {
+		machine.SlowTasks = 0
 		a.quarantine(machine, "different jobs fail on it", now)
-		for _, other := range machine.SortedAttempts() {
-			a.StopAttempt(other, other.Job.Spec.CheckpointDurationS+saveSlackS, now)
-		}
+		a.drainFaulty(machine, now)
+	}
+}
+
+// drainFaulty stops the attempts on a machine on which different jobs failed, so that the machine
+// becomes idle and is returned.
+func (a *Agents) drainFaulty(machine *cluster.Machine, now time.Time) {
+	for _, attempt := range machine.SortedAttempts() {
+		a.StopAttempt(attempt, attempt.Job.Spec.CheckpointDurationS+saveSlackS, now)
 	}
 }
 
 // quarantine excludes a machine from scheduling. The machine is returned to the cloud once it is
 // idle.
 func (a *Agents) quarantine(machine *cluster.Machine, reason string, now time.Time) {
-	machine.Quarantined, machine.QuarantinedAt = true, now
+	machine.Quarantine(now)
 	a.metrics.Count(telemetry.MachineQuarantined, 1)
 	a.log.Info("machine quarantined", "machine", machine.Name, "reason", reason)
 }
--- a/internal/coordination/agents/slow_machines.go
+++ b/internal/coordination/agents/slow_machines.go
@@ -10,9 +10,6 @@
 	// A task is slow if it runs at least slowFactor times the mean run time of the same job's
 	// tasks on other machines.
 	slowFactor = 3
-	// slowTasksLimit is the number of consecutive slow tasks after which a machine is
-	// quarantined.
-	slowTasksLimit = 2
 	// slowSampleSize is the minimum number of tasks completed on other machines for a
 	// comparison.
 	slowSampleSize = 3
@@ -32,8 +29,11 @@
 	}
 	attempt.Slow = true
 	machine := attempt.Machine
+	if machine.Quarantined {
+		return
+	}
 	machine.SlowTasks++
-	if machine.SlowTasks >= slowTasksLimit && !machine.Quarantined {
+	if machine.SlowTasks >= cluster.SlowTasksLimit {
 		a.quarantine(machine, "tasks take far longer than on other machines", now)
 	}
 }
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -126,8 +126,8 @@
 	// SlowTasks counts the consecutive tasks that ran far longer than their job's tasks on
 	// other machines.
 	SlowTasks int
-	// Quarantined is set if the machine is considered faulty. A quarantined machine
-	// gets no new work. QuarantinedAt is the time at which this controller found that.
+	// Quarantined is set if the machine is considered faulty or slow, and keeps new work off it
+	// (MachineBlock). QuarantinedAt is the time at which this controller learned that.
 	Quarantined   bool
 	QuarantinedAt time.Time
 	// AvoidUntil is the time until which the machine gets no new work after a failure or a
--- a/internal/coordination/cluster/machine_block.go
+++ b/internal/coordination/cluster/machine_block.go
@@ -29,7 +29,7 @@
 	switch {
 	case m.Lost:
 		return BlockLost
-	case m.Quarantined:
+	case m.Quarantined && !m.IsLastChoice(now):
 		return BlockQuarantined
 	case m.Type == nil:
 		return BlockTypeUnknown
--- a/internal/coordination/placement/choose.go
+++ b/internal/coordination/placement/choose.go
@@ -48,7 +48,8 @@
 // preferred filters machines by the preferences that take precedence over contention
 // (docs/design.md). It reuses the slice.
 func (r *round) preferred(machines []int, job *Job) []int {
-	// Avoid machines on which the job failed.
+	// Avoid slow machines, and those on which the job failed.
+	machines = prefer(machines, func(machine int) bool { return !r.Machines[machine].LastChoice })
 	if len(job.LastChoiceMachines) > 0 {
 		machines = prefer(machines, func(machine int) bool { return !job.LastChoiceMachines[r.Machines[machine].Name] })
 	}
--- a/internal/coordination/placement/placement.go
+++ b/internal/coordination/placement/placement.go
@@ -29,6 +29,8 @@
 	// Free are the resources that are not in use.
 	Free        binpack.Resources
 	FetchGBPerS float64
+	// LastChoice marks a machine that is used only if no other one fits.
+	LastChoice bool
 	// ReservedFor is the fair-share group that the machine is reserved for, or
 	// fairshare.NoGroup.
 	ReservedFor int
--- a/internal/coordination/placement/placement_test.go
+++ b/internal/coordination/placement/placement_test.go
@@ -68,6 +68,9 @@
 			v.Jobs[0] = job(4, 4)
 			v.Jobs[0].Gang, v.Jobs[0].LastChoiceMachines = true, map[string]bool{"a": true, "b": true}
 		}, Plan{Assignments: []Assignment{{0, 0}, {0, 0}, {0, 1}, {0, 1}}}},
+		"slow machine as the last choice": {func(v *View, d *fakeDetails) {
+			v.Jobs[0].Pending, v.Machines[0].LastChoice, d.running = 6, true, [][]contention.Task{nil, busy}
+		}, Plan{Assignments: []Assignment{{0, 1}, {0, 1}, {0, 1}, {0, 1}, {0, 0}, {0, 0}}}},
 		"team limit": {func(v *View, d *fakeDetails) {
 			v.Jobs[0].Pending, v.Teams[0] = 3, Team{Limit: binpack.TeamResources{CPUs: 8}, Used: binpack.TeamResources{CPUs: 3.5}}
 		}, Plan{Assignments: []Assignment{{0, 0}, {0, 0}}}},
--- a/internal/coordination/preemption/preemption.go
+++ b/internal/coordination/preemption/preemption.go
@@ -96,6 +96,8 @@
 	Name string
 	Kind binpack.MachineKind
 	Free binpack.Resources
+	// LastChoice marks a machine that is used only if no other one can be freed.
+	LastChoice bool
 	// Tasks are the running tasks, as indexes in the view.
 	Tasks []int
 }
--- a/internal/coordination/preemption/preemption_test.go
+++ b/internal/coordination/preemption/preemption_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,6 +68,11 @@
 		"gang":                                      {func(v *View) { v.Jobs[0].NonPreempting = true }, nil},
 		"machine where the job failed":              {func(v *View) { v.Jobs[0].ExcludedMachines = map[string]bool{"m-2": true} }, []Preemption{{Task: 0}}},
 		"machine where the job failed, tried again": {func(v *View) { v.Jobs[0].LastChoiceMachines = map[string]bool{"m-2": true} }, []Preemption{{Task: 0}}},
+		"slow machine":                              {func(v *View) { v.Machines = slices.Clone(v.Machines); v.Machines[1].LastChoice = true }, []Preemption{{Task: 0}}},
+		"two tasks on slow machines": {func(v *View) {
+			v.Jobs[0].Pending, v.Machines = 2, slices.Clone(v.Machines)
+			v.Machines[0].LastChoice, v.Machines[1].LastChoice = true, true
+		}, []Preemption{{Task: 1}, {Task: 0}}},
 		"one task on machines where the job failed": {func(v *View) {
 			v.Jobs[0].Pending, v.Jobs[0].LastChoiceMachines = 3, map[string]bool{"m-1": true, "m-2": true}
 		}, []Preemption{{Task: 1}}},
--- a/internal/coordination/preemption/round.go
+++ b/internal/coordination/preemption/round.go
@@ -50,7 +50,7 @@
 		for _, task := range cheapest.tasks {
 			r.preempt(task, jobIndex, false)
 		}
-		if cheapest.lastChoice {
+		if cheapest.retry {
 			return // the job tries one such machine at a time
 		}
 	}
@@ -62,8 +62,9 @@
 	tasks   []int
 	// lostWork is the sum of the LostWork of the tasks, in CPU seconds.
 	lostWork float64
-	// lastChoice is set if the machine is one of the job's last-choice machines.
-	lastChoice bool
+	// retry is set if the job failed on the machine, and lastChoice if the machine is used only if
+	// there is no other.
+	retry, lastChoice bool
 }
 
 // cheaperThan reports whether preempting the victims is better than preempting others.
@@ -95,7 +96,8 @@
 // work. It reports whether the task then fits and no more than maxLostWork is lost.
 func (r *round) selectVictims(machine int, job *Job, guaranteed bool) (victimSet, bool) {
 	free, candidates := r.preemptibleTasks(machine, job, guaranteed)
-	result := victimSet{machine: machine, lastChoice: job.LastChoiceMachines[r.Machines[machine].Name]}
+	result := victimSet{machine: machine, retry: job.LastChoiceMachines[r.Machines[machine].Name]}
+	result.lastChoice = result.retry || r.Machines[machine].LastChoice
 	for _, task := range candidates {
 		if free.Holds(job.Resources) {
 			break
--- /dev/null
+++ b/internal/coordination/quarantine_test.go
@@ -0,0 +1,84 @@
+package coordination
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"micaspindle/internal/coordination/cluster"
+)
+
+// A slow machine that a service keeps in use is never idle, so it is never returned. A job that fits
+// nowhere else must not wait for that.
+func TestSlowMachineInUseGivesWay(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, p := newLeadingController(t)
+		slow, faulty := c.addMachine(p, "m-1", "small"), c.addMachine(p, "m-2", "small")
+		slow.Quarantine(time.Now())
+		faulty.Quarantine(time.Now())
+		slow.SlowTasks = cluster.SlowTasksLimit
+		job := c.addJob(newJobSpec("job-1", 1, "green"))
+		place := func() (machines []string) {
+			for _, machine := range c.Machines {
+				machine.LastHeartbeatAt = time.Now()
+			}
+			c.scheduler.Place(p, time.Now())
+			for _, attempt := range job.LiveAttempts {
+				machines = append(machines, attempt.Machine.Name)
+			}
+			return machines
+		}
+		time.Sleep(30 * time.Second)
+		if got := place(); len(got) > 0 {
+			t.Errorf("task placed on %v 30 s after the quarantine, want none", got)
+		}
+		time.Sleep(30 * time.Second)
+		if got := place(); len(got) != 1 || got[0] != "m-1" {
+			t.Errorf("task placed on %v a minute after the quarantine, want the slow machine m-1", got)
+		}
+	})
+}
+
+// A slow machine that is still in use is returned when it is idle, although it gets work again.
+func TestSlowMachineIsReturnedWhenIdle(t *testing.T) {
+	t.Parallel()
+	runSimulation(t, 35, func(sim *simulatedCluster) {
+		time.Sleep(2 * time.Second)
+		sim.withLock(func() {
+			sim.cloud.Capacity, sim.cloud.Types = 1, sim.cloud.Types[:1]
+			sim.taskRunTime = func(job string, _ int, _ string) time.Duration {
+				if job == witnessJob {
+					return 3 * time.Minute
+				}
+				return 4 * time.Second
+			}
+		})
+		witness := newJobSpec(witnessJob, 1, "green")
+		witness.DeadlineS = 600
+		sim.submit(witness)
+		time.Sleep(20 * time.Second)
+		leader := sim.leaderOf(sim.partitionOf("green"))
+		var name string
+		sim.onController(leader, func(c *Controller) {
+			for _, machine := range c.Machines {
+				machine.SlowTasks, name = cluster.SlowTasksLimit, machine.Name
+				machine.Quarantine(time.Now())
+			}
+		})
+		submittedAt := time.Now()
+		sim.submit(newJobSpec("job-1", 1, "green"))
+		for sim.startsOf("job-1") == 0 {
+			if time.Sleep(time.Second); time.Since(submittedAt) > maxStartDelay {
+				t.Errorf("no task started for %s on the only machine, which is slow and has room", maxStartDelay)
+				break
+			}
+		}
+		time.Sleep(3 * time.Minute)
+		sim.withLock(func() {
+			if sim.agents[name] != nil {
+				t.Errorf("%s is slow and idle, and was not returned", name)
+			}
+		})
+	})
+}
--- a/internal/coordination/replication/hints.go
+++ b/internal/coordination/replication/hints.go
@@ -47,8 +47,8 @@
 	if m.Record.Addr == "" {
 		m.Record.Addr = hints.Addr
 	}
-	if hints.Quarantined && !m.Quarantined {
-		m.Quarantined, m.QuarantinedAt = true, now
+	if hints.Quarantined {
+		m.Quarantine(now)
 	}
 	m.SlowTasks = max(m.SlowTasks, int(hints.SlowTasks))
 	m.ReplicatedEpoch = max(m.ReplicatedEpoch, hints.Epoch)
--- a/internal/coordination/scheduler/placement.go
+++ b/internal/coordination/scheduler/placement.go
@@ -90,6 +90,7 @@
 			Kind:        cluster.MachineKindOf(machine.Record),
 			Free:        machine.Free(),
 			FetchGBPerS: machine.Type.FetchGBPerS,
+			LastChoice:  machine.IsLastChoice(now),
 			ReservedFor: machine.ReservedFor,
 		})
 	}
--- a/internal/coordination/scheduler/preemption_view.go
+++ b/internal/coordination/scheduler/preemption_view.go
@@ -77,7 +77,7 @@
 		if !b.scheduler.usableIn(b.partition, machine, b.now) {
 			continue
 		}
-		view := preemption.Machine{Name: machine.Name, Kind: cluster.MachineKindOf(machine.Record), Free: machine.Free()}
+		view := preemption.Machine{Name: machine.Name, Kind: cluster.MachineKindOf(machine.Record), Free: machine.Free(), LastChoice: machine.IsLastChoice(b.now)}
 		for _, attempt := range machine.SortedAttempts() {
 			if attempt.Live() {
 				view.Tasks = append(view.Tasks, b.ensureAttempt(attempt))
