Stop attempts on machines that a former leader found faulty

Cause: the leader that quarantines a faulty machine stops its attempts once, at that moment. If it ends before, the successor learns of the quarantine from its replica and stops nothing: a service keeps the machine in use, so it is neither returned nor replaced. Change: the periodic check of a machine stops the attempts on one that is quarantined as faulty. Result: TestSuccessorDrainsFaultyMachines fails without the change.

--- a/internal/coordination/agents/machines.go
+++ b/internal/coordination/agents/machines.go
@@ -111,8 +111,8 @@
 }
 
 // checkMachine performs the periodic work for a machine whose lease may still be valid: it abandons
-// a retirement that was not completed, evacuates a machine that is going to be preempted, and
-// repeats commands that were not answered.
+// a retirement that was not completed, evacuates a machine that is going to be preempted or is
+// faulty, and repeats commands that were not answered.
 func (a *Agents) checkMachine(machine *cluster.Machine, now time.Time) {
 	if !machine.RetiringSince.IsZero() && now.Sub(machine.RetiringSince) > retirementTimeout {
 		machine.RetiringSince = time.Time{}
@@ -120,6 +120,9 @@
 	if !machine.PreemptionAt.IsZero() && machine.TokenConfirmed {
 		a.evacuate(machine, now)
 	}
+	if machine.QuarantinedAsFaulty() && machine.TokenConfirmed {
+		a.drainFaulty(machine, now) // a former leader may have ended before it did
+	}
 	for _, attempt := range machine.Attempts {
 		a.fencePendingStart(attempt, now)
 	}
--- a/internal/coordination/quarantine_test.go
+++ b/internal/coordination/quarantine_test.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"micaspindle/internal/coordination/cluster"
+	"micaspindle/internal/coordination/replication"
+	"micaspindle/internal/protocol"
+	"micaspindle/internal/protocol/peer"
 )
 
 // A slow machine that a service keeps in use is never idle, so it is never returned. A job that fits
@@ -82,3 +85,26 @@
 		})
 	})
 }
+
+// A leader that finds a machine faulty may end before it has stopped the attempts there. Its
+// successor stops them, or a service would keep the machine from being returned and replaced.
+func TestSuccessorDrainsFaultyMachines(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, end := newIdleController(t)
+		defer end()
+		p, machine := c.leadFirstPartition(5)
+		job := c.addLoadedJob("job-1")
+		attempt := addLiveAttempt(job, machine, 2, cluster.AttemptConfirmed)
+		heartbeat := &protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 2, Sequence: 1, Token: 5,
+			Tasks: []protocol.TaskReport{{Task: attempt.TaskName(), Attempt: attempt.Number, State: protocol.TaskRunning}}}
+		if status := c.agents.HandleHeartbeat(heartbeat, protocol.Encode(heartbeat)).Status; status != 200 {
+			t.Fatalf("the first heartbeat was answered with status %d, want 200", status)
+		}
+		c.replicator.ApplyHints(p, &replication.ReceivedUpdates{Machines: map[string]replication.MachineHints{"m-1": {MachineHint: &peer.MachineHint{Quarantined: true}}}}, time.Now())
+		c.agents.CheckMachines(time.Now())
+		if !machine.QuarantinedAsFaulty() || !attempt.Stopping {
+			t.Errorf("machine quarantined as faulty: %v, its attempt stopping: %v, want both", machine.QuarantinedAsFaulty(), attempt.Stopping)
+		}
+	})
+}
