Forget failures and quarantines with the partition's lease

Cause: a lost lease and a move of a machine left Quarantined, FailedJobs, SlowTasks and AvoidUntil in memory, and of jobs Failures and BackoffUntil, while a new run state dropped the job's bans. A controller that leads again, hours later, would have taken a machine that served well out of use, or held a job back, by its own old memory; its predecessor's replica only ever added to it. Change: both are cleared when the leader's state is; the replica's hints of the former leader are what counts. Result: TestFailuresAreForgottenWithTheLease fails without either half of the change.

--- a/internal/coordination/cluster/failures.go
+++ b/internal/coordination/cluster/failures.go
@@ -77,7 +77,7 @@
 // ClearFailures forgets all failures and their pauses, which only the partition's leader knows.
 func (j *Job) ClearFailures() {
 	j.Failures, j.BackoffUntil, j.NextTrialAt = 0, time.Time{}, time.Time{}
-	j.FailedMachines, j.FailedTasks, j.LastDoneAt = nil, nil, time.Time{}
+	j.FailedMachines, j.FailedTasks, j.LastDoneAt, j.LastPlacedAt = nil, nil, time.Time{}, time.Time{}
 }
 
 // isFaulty reports whether the job failed on failedMachinesLimit machines since a task of it was last
--- a/internal/coordination/cluster/job.go
+++ b/internal/coordination/cluster/job.go
@@ -95,7 +95,7 @@
 	j.TaskDone = make([]bool, j.Spec.Tasks)
 	j.DoneCount, j.RunningCount, j.Completing = 0, 0, false
 	j.LiveAttempts, j.Chunks, j.RunTimesS = map[int]*Attempt{}, map[int]*RunChunk{}, nil
-	j.FailedMachines, j.FailedTasks = nil, nil
+	j.ClearFailures()
 	j.Pending = make([]int, j.Spec.Tasks)
 	for task := range j.Pending {
 		j.Pending[task] = task
@@ -106,6 +106,7 @@
 func (j *Job) DropRunState() {
 	j.HasRunState, j.TaskDone, j.LiveAttempts, j.Chunks, j.Pending = false, nil, nil, nil, nil
 	j.Completing, j.RunningCount, j.DoneCount = false, 0, 0
+	j.ClearFailures()
 }
 
 // Requeue puts a task at the front of the pending tasks.
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -183,9 +183,19 @@
 	}
 	m.TokenConfirmed, m.Lost, m.Moving, m.HasReported, m.TokenRaiseBy = false, false, false, false, time.Time{}
 	m.RetiringSince, m.ReservedFor, m.ReplicationSeq = time.Time{}, fairshare.NoGroup, 0
+	m.resetHealth()
 	m.RecountUsed()
 }
 
+// resetHealth forgets what this controller has learned of the machine's health. It may be outdated
+// when the controller leads the machine's partition again, so that only the replica of the former
+// leader's state counts then.
+func (m *Machine) resetHealth() {
+	clear(m.FailedJobs)
+	m.SlowTasks, m.Quarantined, m.QuarantinedAt = 0, false, time.Time{}
+	m.AvoidedAt, m.AvoidUntil, m.SoundAt = time.Time{}, time.Time{}, time.Time{}
+}
+
 // Token returns the fencing token for commands to the machine's agent. All revisions come from the
 // single counter of the state store, so a takeover, a move and a token record each raise the token.
 func (s *State) Token(m *Machine) uint64 {
--- a/internal/coordination/quarantine_test.go
+++ b/internal/coordination/quarantine_test.go
@@ -108,3 +108,40 @@
 		}
 	})
 }
+
+// What a controller has learned of failures while it led a partition is outdated when it leads the
+// partition again: it must neither hold back jobs nor exclude machines for it.
+func TestFailuresAreForgottenWithTheLease(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, p := newLeadingController(t)
+		now := time.Now()
+		machine, other := c.addMachine(p, "m-1", "small"), c.addMachine(p, "m-2", "small")
+		job := c.addJob(newJobSpec("job-1", 2, "green"))
+		for _, failed := range []*cluster.Machine{machine, other} {
+			job.RecordFailure(&cluster.Attempt{Job: job, Machine: failed}, now)
+			failed.FailedJobs["job-1"], failed.SlowTasks = true, 1
+			failed.Avoid(now.Add(time.Minute), now)
+			failed.Quarantine(now)
+		}
+		if !job.BackoffUntil.After(now) {
+			t.Fatal("the job is not held back after failures on two machines")
+		}
+		c.leases.ClearLeaderState(p)
+		for _, m := range []*cluster.Machine{machine, other} {
+			if m.Quarantined || m.SlowTasks > 0 || len(m.FailedJobs) > 0 || m.AvoidUntil.After(now) {
+				t.Errorf("%s after the loss of the lease: quarantined %v, %d slow tasks, %d failed jobs, avoided until %s, want none",
+					m.Name, m.Quarantined, m.SlowTasks, len(m.FailedJobs), m.AvoidUntil)
+			}
+		}
+		if job.BackoffUntil.After(now) || job.Failures > 0 || len(job.FailedMachines)+len(job.FailedTasks) > 0 {
+			t.Errorf("job after the loss of the lease: held back until %s, %d failures, %d failed machines, %d failed tasks, want none",
+				job.BackoffUntil, job.Failures, len(job.FailedMachines), len(job.FailedTasks))
+		}
+		c.replicator.ApplyHints(p, &replication.ReceivedUpdates{Machines: map[string]replication.MachineHints{
+			"m-2": {MachineHint: &peer.MachineHint{Quarantined: true, SlowTasks: cluster.SlowTasksLimit}}}}, now)
+		if machine.Quarantined || !other.QuarantinedAsSlow() {
+			t.Errorf("m-1 quarantined: %v, m-2 quarantined as slow: %v, want only m-2, as the former leader found", machine.Quarantined, other.QuarantinedAsSlow())
+		}
+	})
+}
--- a/internal/coordination/replication/replica_job.go
+++ b/internal/coordination/replication/replica_job.go
@@ -22,7 +22,7 @@
 // the number of live attempts. The job owns the state from then on.
 func (j *ReplicaJob) AttachTo(job *cluster.Job, now time.Time) (live int) {
 	job.HasRunState, job.RunningCount, job.Completing, job.RunTimesS = true, 0, false, nil
-	job.FailedMachines, job.FailedTasks = nil, nil
+	job.ClearFailures()
 	job.LiveAttempts, job.Chunks, job.Pending = j.Live, j.chunks, nil
 	j.setDoneTasks(job)
 	j.attachAttempts(job, now)
