Failures of ten minutes ago are no evidence against a machine

Cause: FailedJobs had no age. A job's failure in the morning and another's in the evening, with only long tasks or services in between, quarantined a machine that works, and all attempts there were stopped. Result: TestFailedJobsOfAMachineAreForgotten fails without the age.

--- a/internal/coordination/agents/attempts.go
+++ b/internal/coordination/agents/attempts.go
@@ -58,18 +58,15 @@
 // handleTaskDone processes the completion of a task. The tasks of a service are started again.
 func (a *Agents) handleTaskDone(attempt *cluster.Attempt, now time.Time) {
 	job := attempt.Job
-	if attempt.PlacedAt.After(attempt.Machine.SoundAt) {
-		attempt.Machine.SoundAt = attempt.PlacedAt
-	}
 	if job.Spec.Service {
 		job.Requeue(attempt.TaskIndex)
 		return
 	}
+	attempt.Machine.RecordDone(attempt.PlacedAt)
 	if !attempt.StartedAt.IsZero() && !attempt.StartTimeUnknown() {
 		a.recordRunTime(attempt, now)
 	}
 	job.RecordDone(attempt, now)
-	clear(attempt.Machine.FailedJobs)
 	if !job.TaskDone[attempt.TaskIndex] {
 		job.TaskDone[attempt.TaskIndex] = true
 		job.DoneCount++
@@ -96,15 +93,16 @@
 func (a *Agents) handleTaskFailure(attempt *cluster.Attempt, now time.Time) {
 	job, machine := attempt.Job, attempt.Machine
 	job.Requeue(attempt.TaskIndex)
+	failedJobs := 0
 	if job.RecordFailure(attempt, now) {
-		machine.FailedJobs[job.Spec.ID] = true
+		failedJobs = machine.RecordFailedJob(job.Spec.ID, now)
 		machine.Avoid(now.Add(failedMachineBackoff), now)
 	}
 	a.metrics.Count(telemetry.AttemptFailed, 1)
 	a.log.Info("task failed", "task", attempt.TaskName(), "machine", machine.Name, "count", job.Failures,
 		"retry_there_after", job.FailedMachines[machine.Name].RetryAt.Sub(now), "machine_backoff", max(0, machine.AvoidUntil.Sub(now)),
 		"job_backoff", max(0, job.BackoffUntil.Sub(now)))
-	if len(machine.FailedJobs) >= failedJobsLimit && !machine.QuarantinedAsFaulty() {
+	if failedJobs >= failedJobsLimit && !machine.QuarantinedAsFaulty() {
 		machine.SlowTasks = 0
 		a.quarantine(machine, "different jobs fail on it", now)
 		a.drainFaulty(machine, now)
--- a/internal/coordination/agents/machines.go
+++ b/internal/coordination/agents/machines.go
@@ -54,7 +54,7 @@
 		Shard:                   delegation.ShardOf(name),
 		Attempts:                map[string]*cluster.Attempt{},
 		OrphanedTasks:           map[string]protocol.TaskReport{},
-		FailedJobs:              map[string]bool{},
+		FailedJobs:              map[string]time.Time{},
 		Images:                  map[string]time.Time{},
 		RecordedAt:              now,
 		HeartbeatsExpectedSince: now,
--- a/internal/coordination/cluster/failures_test.go
+++ b/internal/coordination/cluster/failures_test.go
@@ -151,3 +151,21 @@
 		t.Errorf("%d tasks ready after a task was done, want 4", got)
 	}
 }
+
+// Only recent failures of different jobs, with no task done in between, make a machine faulty.
+func TestFailedJobsOfAMachineAreForgotten(t *testing.T) {
+	machine := &Machine{Name: "a", FailedJobs: map[string]time.Time{}}
+	for _, step := range []struct {
+		job    string
+		second int
+		want   int
+	}{{"job-1", 0, 1}, {"job-1", 100, 1}, {"job-2", 500, 2}, {"job-3", 800, 2}, {"job-4", 1500, 1}} {
+		if got := machine.RecordFailedJob(step.job, at(step.second)); got != step.want {
+			t.Errorf("%d recently failed jobs after the failure of %s at %d s, want %d", got, step.job, step.second, step.want)
+		}
+	}
+	machine.RecordDone(at(1400))
+	if got := machine.RecordFailedJob("job-5", at(1510)); got != 1 || !machine.SoundAt.Equal(at(1400)) {
+		t.Errorf("%d recently failed jobs after a task was done, sound at %s, want 1 and %s", got, machine.SoundAt, at(1400))
+	}
+}
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -118,9 +118,9 @@
 
 	// The machine's health.
 
-	// FailedJobs are the ids of jobs that failed on the machine since a task was last done
-	// on it.
-	FailedJobs map[string]bool
+	// FailedJobs are the times of the last failures of jobs on the machine since a task was
+	// last done on it, by the jobs' ids.
+	FailedJobs map[string]time.Time
 	// SoundAt is the time at which the latest placed of the done tasks was placed.
 	SoundAt time.Time
 	// SlowTasks counts the consecutive tasks that ran far longer than their job's tasks on
--- a/internal/coordination/cluster/quarantine.go
+++ b/internal/coordination/cluster/quarantine.go
@@ -1,6 +1,9 @@
 package cluster
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// SlowTasksLimit is the number of consecutive slow tasks after which a machine is
@@ -18,6 +21,23 @@
 	}
 }
 
+// RecordFailedJob records that a job failed on the machine, and returns the number of different jobs
+// that did recently, without a task done in between.
+func (m *Machine) RecordFailedJob(id string, now time.Time) int {
+	maps.DeleteFunc(m.FailedJobs, func(_ string, at time.Time) bool { return now.Sub(at) > failureMemory })
+	m.FailedJobs[id] = now
+	return len(m.FailedJobs)
+}
+
+// RecordDone records that a task that was placed at a given time is done on the machine, so that the
+// machine is not faulty.
+func (m *Machine) RecordDone(placedAt time.Time) {
+	clear(m.FailedJobs)
+	if placedAt.After(m.SoundAt) {
+		m.SoundAt = placedAt
+	}
+}
+
 // QuarantinedAsFaulty reports whether the machine is quarantined because different jobs failed on it.
 // Its attempts are stopped, so that it becomes idle, and it gets no new work until it is returned.
 func (m *Machine) QuarantinedAsFaulty() bool { return m.Quarantined && m.SlowTasks < SlowTasksLimit }
