Services' done tasks show that a machine works

Cause: the end of a service's task without an error returned before the evidence against its machine was cleared, so on a machine that only services use nothing ever refuted a suspicion. Change: handleTaskDone records the end on the machine first, for all kinds of jobs. Result: TestDoneTasksOfServicesShowThatMachinesWork fails without the change.

--- a/internal/coordination/agents/attempts.go
+++ b/internal/coordination/agents/attempts.go
@@ -58,11 +58,11 @@
 // handleTaskDone processes the completion of a task. The tasks of a service are started again.
 func (a *Agents) handleTaskDone(attempt *cluster.Attempt, now time.Time) {
 	job := attempt.Job
+	attempt.Machine.RecordDone(attempt.PlacedAt)
 	if job.Spec.Service {
 		job.Requeue(attempt.TaskIndex)
 		return
 	}
-	attempt.Machine.RecordDone(attempt.PlacedAt)
 	if !attempt.StartedAt.IsZero() && !attempt.StartTimeUnknown() {
 		a.recordRunTime(attempt, now)
 	}
--- a/internal/coordination/quarantine_test.go
+++ b/internal/coordination/quarantine_test.go
@@ -146,3 +146,26 @@
 		}
 	})
 }
+
+// A service's task that ends without an error shows that its machine works, as any other task does.
+func TestDoneTasksOfServicesShowThatMachinesWork(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, end := newIdleController(t)
+		defer end()
+		_, machine := c.leadFirstPartition(5)
+		job := c.addLoadedJob("job-1")
+		job.Spec.Service = true
+		attempt := addLiveAttempt(job, machine, 2, cluster.AttemptConfirmed)
+		attempt.PlacedAt = time.Now()
+		machine.RecordFailedJob("job-2", time.Now())
+		heartbeat := &protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 2, Sequence: 1, Token: 5,
+			Tasks: []protocol.TaskReport{{Task: attempt.TaskName(), Attempt: attempt.Number, State: protocol.TaskEnded, Cause: protocol.CauseDone}}}
+		if status := c.agents.HandleHeartbeat(heartbeat, protocol.Encode(heartbeat)).Status; status != 200 {
+			t.Fatalf("the heartbeat was answered with status %d, want 200", status)
+		}
+		if len(machine.FailedJobs) > 0 || !machine.SoundAt.Equal(attempt.PlacedAt) {
+			t.Errorf("%d failed jobs counted against the machine, sound at %s, want none and %s", len(machine.FailedJobs), machine.SoundAt, attempt.PlacedAt)
+		}
+	})
+}
