Preemption: other work is stopped only for the first retry on a machine

Cause: found by the question whether a faulty job does more harm now: with bans that end, an urgent job that fails for good on the only machine that fits would have less urgent work there stopped for each of its retries, once a minute. Change: preemption counts a machine as the job's last choice for the first retry only, and never for a job that failed on two machines.

--- a/internal/coordination/cluster/failures.go
+++ b/internal/coordination/cluster/failures.go
@@ -169,6 +169,20 @@
 	return excluded
 }
 
+// PreemptionExclusions is MachineExclusions for preemption: other jobs lose work for the first retry
+// on a machine only, and not for a job that failed on several machines.
+func (j *Job) PreemptionExclusions(now time.Time) (excluded, lastChoice map[string]bool) {
+	excluded, lastChoice = j.MachineExclusions(now)
+	faulty := j.isFaulty(nil)
+	for name := range lastChoice {
+		if faulty || j.FailedMachines[name].Count > 1 {
+			excluded = addName(excluded, name)
+		}
+	}
+	maps.DeleteFunc(lastChoice, func(name string, _ bool) bool { return excluded[name] })
+	return excluded, lastChoice
+}
+
 // ExcludedUntil returns the time until which no task of the job may start on a machine where it
 // failed. As long as nothing has refuted the suspicion, the job tries one such machine at a time.
 func (j *Job) ExcludedUntil(failures *MachineFailures) time.Time {
--- a/internal/coordination/cluster/failures_test.go
+++ b/internal/coordination/cluster/failures_test.go
@@ -70,6 +70,30 @@
 	check(371+601, "excluded [] last choice []")
 }
 
+// Other jobs lose work only for the first retry on a machine where the job failed.
+func TestPreemptionForRetries(t *testing.T) {
+	a, b := &Machine{Name: "a"}, &Machine{Name: "b"}
+	check := func(what string, job *Job, second int, want string) {
+		t.Helper()
+		excluded, lastChoice := job.PreemptionExclusions(at(second))
+		names := func(set map[string]bool) string { return strings.Join(slices.Sorted(maps.Keys(set)), " ") }
+		if got := fmt.Sprintf("excluded [%s] last choice [%s]", names(excluded), names(lastChoice)); got != want {
+			t.Errorf("%s: %s, want %s", what, got, want)
+		}
+	}
+	job := newTestJob(4)
+	job.failAt(0, a, 0, 1)
+	check("first retry", job, 30, "excluded [] last choice [a]")
+	job.failAt(0, a, 30, 31)
+	check("second retry", job, 100, "excluded [a] last choice []")
+	job = newTestJob(4)
+	job.failAt(0, a, 0, 1)
+	job.failAt(1, b, 0, 1)
+	check("job that failed on two machines", job, 30, "excluded [a b] last choice []")
+	job.RecordDone(&Attempt{TaskIndex: 2}, at(2))
+	check("after a task was done", job, 30, "excluded [] last choice [a b]")
+}
+
 // A failure is no evidence against the machine if the job or the task failed elsewhere, too, or if the
 // attempt was a retry.
 func TestFailuresThatImplicateMachines(t *testing.T) {
--- a/internal/coordination/scheduler/preemption_view.go
+++ b/internal/coordination/scheduler/preemption_view.go
@@ -120,7 +120,7 @@
 // preemptionJob converts a job to the input of preemption.Decide, without DisallowedZones.
 func (s *Scheduler) preemptionJob(job *cluster.Job, now time.Time) preemption.Job {
 	deadline, _ := job.Deadline()
-	excluded, lastChoice := job.MachineExclusions(now)
+	excluded, lastChoice := job.PreemptionExclusions(now)
 	return preemption.Job{
 		Team:               job.Team,
 		Urgency:            job.Urgency(),
