Waiting jobs: look at all machines only for the jobs that are logged

Cause: the count of jobs that failures keep from a machine with room went through all machines for each waiting job that had failed anywhere: after a mass of failures at 4,000 machines, millions of checks in the event loop every 15 s. Change: it looks at the machines where the job failed, of which there are few; the log of at most ten jobs is as it was. Result: found by reading; TestLogExplainsWhyJobsWait and the coordination tests pass. No decision changes.

--- a/internal/coordination/cluster/partition.go
+++ b/internal/coordination/cluster/partition.go
@@ -82,8 +82,8 @@
 	DoneTallies map[int]*fairshare.Tally
 	FairShare   FairShareState
 	// LongWaitingJobs is the number of jobs that had waited long at WaitingJobsReportedAt, and
-	// JobsExcludedFromRoom the number of those that failures of tasks keep from a machine with
-	// room.
+	// JobsExcludedFromRoom the number of those that their own failures keep from a machine
+	// with room.
 	LongWaitingJobs       int
 	JobsExcludedFromRoom  int
 	WaitingJobsReportedAt time.Time
--- a/internal/coordination/scheduler/waiting_jobs.go
+++ b/internal/coordination/scheduler/waiting_jobs.go
@@ -51,20 +51,28 @@
 	}
 	p.WaitingJobsReportedAt = now
 	waiting := s.longWaitingJobs(p, now)
-	p.LongWaitingJobs = len(waiting)
-	p.JobsExcludedFromRoom = 0
-	for index, job := range waiting {
-		if index >= waitingReportJobs && len(job.FailedMachines) == 0 {
-			break
-		}
-		exclusions, excludedFromRoom := s.exclusions(p, job, now)
-		if excludedFromRoom {
+	p.LongWaitingJobs, p.JobsExcludedFromRoom = len(waiting), 0
+	for _, job := range waiting {
+		if s.isExcludedFromRoom(p, job, now) {
 			p.JobsExcludedFromRoom++
 		}
-		if index < waitingReportJobs {
-			s.logWaitingJob(p, job, exclusions, now)
+	}
+	for _, job := range waiting[:min(len(waiting), waitingReportJobs)] {
+		s.logWaitingJob(p, job, now)
+	}
+}
+
+// isExcludedFromRoom reports whether a job's own failures keep it from a usable machine that has room
+// for one of its tasks.
+func (s *Scheduler) isExcludedFromRoom(p *cluster.Partition, job *cluster.Job, now time.Time) bool {
+	need := cluster.ResourcesOf(job.Spec)
+	for _, failures := range job.FailedMachines {
+		machine := failures.Machine
+		if now.Before(job.ExcludedUntil(failures)) && s.usableIn(p, machine, now) && machine.Free().Holds(need) {
+			return true
 		}
 	}
+	return false
 }
 
 // longWaitingJobs returns the jobs of a partition that have waited long, in the order of the report.
@@ -83,16 +91,15 @@
 }
 
 // logWaitingJob logs what keeps a job from starting.
-func (s *Scheduler) logWaitingJob(p *cluster.Partition, job *cluster.Job, exclusions []string, now time.Time) {
+func (s *Scheduler) logWaitingJob(p *cluster.Partition, job *cluster.Job, now time.Time) {
 	s.log.Info("job waits", "job", job.Spec.ID, "partition", p.Index, "count", len(job.Pending), "elapsed", now.Sub(job.WaitingSince()),
 		"job_backoff", max(0, job.BackoffUntil.Sub(now)), "team_limit", !s.withinQuota(p, job), "gang", job.Spec.Gang,
-		"excluded", strings.Join(exclusions, "; "))
+		"excluded", strings.Join(s.exclusions(p, job, now), "; "))
 }
 
 // exclusions lists the machines of a partition that a job's tasks could run on but for temporary
-// reasons: one text for each reason. It also reports whether a machine has room for a task and is
-// excluded because of failures.
-func (s *Scheduler) exclusions(p *cluster.Partition, job *cluster.Job, now time.Time) (texts []string, excludedFromRoom bool) {
+// reasons: one text for each reason.
+func (s *Scheduler) exclusions(p *cluster.Partition, job *cluster.Job, now time.Time) (texts []string) {
 	byReason := map[exclusionReason][]string{}
 	counts := map[exclusionReason]int{}
 	constraints, need := cluster.ConstraintsOf(job.Spec), cluster.ResourcesOf(job.Spec)
@@ -103,9 +110,6 @@
 			continue
 		}
 		excluded := s.exclusion(job, machine, zones, now)
-		if excluded.isFailure() && machine.Free().Holds(need) {
-			excludedFromRoom = true
-		}
 		counts[excluded.reason]++
 		if excluded.reason != excludedRoom {
 			byReason[excluded.reason] = append(byReason[excluded.reason], excluded.describe(machine.Name))
@@ -115,7 +119,7 @@
 		texts = append(texts, describeReason(reason, count, byReason[reason]))
 	}
 	slices.Sort(texts)
-	return texts, excludedFromRoom
+	return texts
 }
 
 // exclusion returns the reason for which no task of a job may start on a machine now, as far as the
@@ -143,11 +147,6 @@
 	return exclusion{}
 }
 
-// isFailure reports whether a machine is excluded because of failures of tasks.
-func (e exclusion) isFailure() bool {
-	return e.reason == excludedFailed || e.reason == exclusionReason(cluster.BlockQuarantined) || e.reason == exclusionReason(cluster.BlockAvoided)
-}
-
 // describe names a machine with the times of its exclusion.
 func (e exclusion) describe(machine string) string {
 	text := machine
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -62,7 +62,7 @@
 	Waiting     int     `msgpack:"waiting" json:"waiting"`
 	OldestWaitS float64 `msgpack:"oldest_s" json:"oldest_s"`
 	// LongWaitingJobs is the number of jobs of which no task was placed for long, and
-	// JobsExcludedFromRoom the number of those that failures of tasks keep from a machine with room.
+	// JobsExcludedFromRoom the number of those that their own failures keep from a machine with room.
 	LongWaitingJobs      int `msgpack:"waiting_long,omitempty" json:"waiting_long,omitempty"`
 	JobsExcludedFromRoom int `msgpack:"excluded_from_room,omitempty" json:"excluded_from_room,omitempty"`
 	// Forgetting is the number of ended attempts that the agents have not forgotten yet.
