Log how many tasks of a waiting job wait since they failed repeatedly

Cause: 'job waits' showed machines as free for a job whose only pending tasks were held back for their own failures; nothing in the line said why they did not start. Result: TestLogExplainsWhyJobsWait has a held task and fails without the attribute. No decision changes.

--- a/internal/coordination/scheduler/waiting_jobs.go
+++ b/internal/coordination/scheduler/waiting_jobs.go
@@ -93,7 +93,7 @@
 // logWaitingJob logs what keeps a job from starting.
 func (s *Scheduler) logWaitingJob(p *cluster.Partition, job *cluster.Job, now time.Time) {
 	s.log.Info("job waits", "job", job.Spec.ID, "partition", p.Index, "count", len(job.Pending), "elapsed", now.Sub(job.WaitingSince()),
-		"job_backoff", max(0, job.BackoffUntil.Sub(now)), "team_limit", !s.withinQuota(p, job), "gang", job.Spec.Gang,
+		"job_backoff", max(0, job.BackoffUntil.Sub(now)), "held", len(job.Pending)-job.ReadyTasks(now), "team_limit", !s.withinQuota(p, job), "gang", job.Spec.Gang,
 		"excluded", strings.Join(s.exclusions(p, job, now), "; "))
 }
 
--- a/internal/coordination/waiting_jobs_test.go
+++ b/internal/coordination/waiting_jobs_test.go
@@ -24,7 +24,7 @@
 		job.SubmittedAt = time.Now()
 		time.Sleep(25 * time.Second)
 		job.RecordFailure(&cluster.Attempt{Job: job, Machine: failed}, time.Now())
-		since, retryAt := time.Now().Format(time.TimeOnly), time.Now().Add(20*time.Second).Format(time.TimeOnly)
+		since := time.Now().Format(time.TimeOnly)
 		quarantined.Quarantined, quarantined.QuarantinedAt = true, time.Now()
 		c.scheduler.ReportWaitingJobs(p, time.Now())
 		if out.Len() > 0 || p.LongWaitingJobs != 0 {
@@ -33,14 +33,18 @@
 		time.Sleep(15 * time.Second)
 		full.Used = full.Free()
 		avoided.Avoid(time.Now().Add(5*time.Second), time.Now())
+		retryAt := time.Now().Add(20 * time.Second).Format(time.TimeOnly)
 		now, until := time.Now().Format(time.TimeOnly), time.Now().Add(5*time.Second).Format(time.TimeOnly)
 		for _, machine := range c.Machines {
 			machine.LastHeartbeatAt = time.Now()
 		}
+		for range 2 { // task 1 has to wait now
+			job.RecordFailure(&cluster.Attempt{Job: job, TaskIndex: 1, Machine: failed}, time.Now())
+		}
 		c.scheduler.ReportWaitingJobs(p, time.Now())
 		for _, want := range []string{
-			`msg="job waits" job=job-1`, "count=2 elapsed=40s", "job_backoff=0s team_limit=false",
-			"job failed there: 1 (m-1 since " + since + " until " + retryAt + ")",
+			`msg="job waits" job=job-1`, "count=2 elapsed=40s", "job_backoff=0s held=1 team_limit=false",
+			"job failed there: 1 (m-1 since " + now + " until " + retryAt + ")",
 			"quarantined: 1 (m-2 since " + since + ")",
 			"no room: 1;",
 			"task failed or start refused: 1 (m-4 since " + now + " until " + until + ")",
