--- a/review/4/main.go
+++ b/review/4/main.go
@@ -72,6 +72,9 @@
 		}
 	}
 	c.Note("%s leads the partition", site.Leader(partition))
+	if machine.Pending() > 0 {
+		return errors.New("the troubles did not come as planned: another controller took over")
+	}
 	return nil
 }
 
--- a/review/rig2/site.go
+++ b/review/rig2/site.go
@@ -352,6 +352,13 @@
 	m.Controllers, m.troubles = order, troubles
 }
 
+// Pending returns the number of troubles that have not begun.
+func (m *Machine) Pending() int {
+	m.site.mu.Lock()
+	defer m.site.mu.Unlock()
+	return len(m.troubles)
+}
+
 // ReportsTo returns the controller to which a machine reports.
 func (m *Machine) ReportsTo() string {
 	m.site.mu.Lock()
