Log and count who may still answer a machine's heartbeats, until when and why

"machine lease expired" named only the last heartbeat.

Change: an answer bound has a controller and a reason. A takeover logs each former leader's bound; a heartbeat that is answered before its agent has the leader's token, a message with the token that is not answered, and an expired lease are logged with what they rest on. Two gauges (unfenced machines, seconds for which former leaders may answer) and two counters. No decision changes.

--- a/internal/coordination/agents/collaborators.go
+++ b/internal/coordination/agents/collaborators.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"micaspindle/internal/coordination/cluster"
+	"micaspindle/internal/coordination/failover"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/transport"
 )
@@ -15,8 +16,12 @@
 	DeleteMachines(names []string) error
 }
 
-// Leases detects failed leaders of other partitions.
+// Leases detects failed leaders of other partitions, and knows until when former leaders may answer
+// heartbeats.
 type Leases interface {
+	// LastAnswerBound returns the latest time at which a former leader, or a delegate of one, may
+	// answer a heartbeat of a machine of a partition.
+	LastAnswerBound(p *cluster.Partition, m *cluster.Machine) failover.AnswerBound
 	// AddDivertedMachine records that a machine's agent sent its heartbeat to this controller
 	// instead of the partition's leader. If several agents do so and the leader sends no
 	// summaries, the leader is considered failed.
--- a/internal/coordination/agents/command_delivery.go
+++ b/internal/coordination/agents/command_delivery.go
@@ -8,6 +8,7 @@
 
 	"micaspindle/internal/coordination/cluster"
 	"micaspindle/internal/protocol"
+	"micaspindle/internal/telemetry"
 	"micaspindle/internal/transport"
 )
 
@@ -185,7 +186,8 @@
 func (a *Agents) applyFenceAnswer(machine *cluster.Machine, sentAfter cluster.HeartbeatPosition, heartbeat *protocol.Heartbeat, err error) {
 	a.recordCommandsAnswered(machine)
 	if err != nil {
-		a.log.Debug("failed to fence machine", "machine", machine.Name, "error", err)
+		a.metrics.Count(telemetry.FenceUnanswered, 1)
+		a.log.Info("machine not fenced", "machine", machine.Name, "token", a.Token(machine), "error", err)
 		return
 	}
 	if a.isLedHere(machine) && heartbeat.Machine == machine.Name {
--- a/internal/coordination/agents/command_log.go
+++ b/internal/coordination/agents/command_log.go
@@ -6,6 +6,7 @@
 
 	"micaspindle/internal/coordination/cluster"
 	"micaspindle/internal/protocol"
+	"micaspindle/internal/telemetry"
 )
 
 // logCommands logs the commands of a message to an agent: the token and the epoch under which they
@@ -39,3 +40,23 @@
 		}
 	}
 }
+
+// logOlderToken logs that a heartbeat is answered although its agent has not received this leader's
+// fencing token, so that a former leader may answer the agent too.
+func (a *Agents) logOlderToken(machine *cluster.Machine, heartbeat *protocol.Heartbeat, token uint64, now time.Time) {
+	a.metrics.Count(telemetry.HeartbeatOlderToken, 1)
+	bound := a.leases.LastAnswerBound(a.Partitions[machine.Record.Partition], machine)
+	a.log.Info("heartbeat answered under an older token", "machine", machine.Name, "epoch", heartbeat.Epoch, "token", token, "token_seen", heartbeat.Token,
+		"controller", bound.Controller, "after", bound.Until.Sub(now), "reason", bound.Reason)
+}
+
+// logLeaseExpiry logs that a machine's lease counts as expired, with the times on which this rests: the
+// last heartbeat received, the last answer that any controller may have given, and the answer bound of
+// former leaders.
+func (a *Agents) logLeaseExpiry(machine *cluster.Machine, now time.Time) {
+	bound := a.leases.LastAnswerBound(a.Partitions[machine.Record.Partition], machine)
+	a.log.Info("machine lease expired", "machine", machine.Name, "epoch", machine.Epoch, "elapsed", now.Sub(machine.LastHeartbeatAt),
+		"token", a.Token(machine), "token_seen", machine.TokenSeen, "token_confirmed", machine.TokenConfirmed,
+		"answered", now.Sub(machine.AnsweredUntil), "controller", bound.Controller, "after", bound.Until.Sub(now), "reason", bound.Reason,
+		"count", len(machine.Attempts))
+}
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -66,6 +66,9 @@
 	} else {
 		batch.Commands = a.StopsForCancelledJobs(heartbeat)
 	}
+	if partition.Ready && heartbeat.Token < a.FencingToken(machine) {
+		a.logOlderToken(machine, heartbeat, token, now)
+	}
 	return transport.Response{Status: 200, Body: protocol.Encode(batch)}
 }
 
--- a/internal/coordination/agents/machines.go
+++ b/internal/coordination/agents/machines.go
@@ -5,6 +5,7 @@
 
 	"micaspindle/internal/coordination/cluster"
 	"micaspindle/internal/coordination/delegation"
+	"micaspindle/internal/coordination/failover"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/storage"
 	"micaspindle/internal/telemetry"
@@ -29,7 +30,8 @@
 	} else if revision <= machine.Revision {
 		return
 	}
-	moved := machine.Revision != 0 && machine.Record.Partition != record.Partition
+	formerPartition := machine.Record.Partition
+	moved := machine.Revision != 0 && formerPartition != record.Partition
 	if record.Addr == "" {
 		record.Addr = machine.Record.Addr
 	}
@@ -37,7 +39,7 @@
 		machine.Record = record
 		machine.ResetLeaderState()
 		machine.AnsweredUntil, machine.HeartbeatsExpectedSince = now.Add(a.AnswerBound()), now
-		machine.FormerLeaderAnswersUntil = machine.AnsweredUntil
+		machine.MoveBound = failover.AnswerBound{Until: machine.AnsweredUntil, Controller: a.Partitions[formerPartition].Leader, Reason: failover.BoundByMove}
 	}
 	machine.Record, machine.Revision, machine.Type = record, revision, a.MachineTypes[record.Type]
 	machine.Moving, machine.TokenConfirmed, machine.TokenRaiseBy = false, false, time.Time{}
@@ -105,7 +107,7 @@
 // agent stops all tasks when the lease expires.
 func (a *Agents) handleLeaseExpiry(machine *cluster.Machine, now time.Time) {
 	a.metrics.Count(telemetry.MachineLeaseExpired, 1)
-	a.log.Info("machine lease expired", "machine", machine.Name, "elapsed", now.Sub(machine.LastHeartbeatAt), "count", len(machine.Attempts))
+	a.logLeaseExpiry(machine, now)
 	machine.Lost, machine.TokenConfirmed = true, false
 	a.releaseAll(machine, "machine lease expired", now)
 }
--- a/internal/coordination/api/collaborators.go
+++ b/internal/coordination/api/collaborators.go
@@ -8,6 +8,7 @@
 	"micaspindle/internal/coordination/auth"
 	"micaspindle/internal/coordination/cluster"
 	"micaspindle/internal/coordination/delegation"
+	"micaspindle/internal/coordination/failover"
 	"micaspindle/internal/overview"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/rights"
@@ -21,6 +22,13 @@
 	HandleHeartbeat(heartbeat *protocol.Heartbeat, raw []byte) transport.Response
 }
 
+// Leases knows until when former leaders may answer heartbeats.
+type Leases interface {
+	// FormerLeaderBounds returns the present answer bounds of a partition's former leaders. It
+	// must be called in the event loop.
+	FormerLeaderBounds(p *cluster.Partition) []failover.AnswerBound
+}
+
 // Auth authenticates callers, authorizes their requests and writes the audit log.
 type Auth interface {
 	// Enabled reports whether authentication is enabled.
--- a/internal/coordination/api/gauges.go
+++ b/internal/coordination/api/gauges.go
@@ -60,6 +60,8 @@
 		{Name: "part_machines_kept", Labels: labels, Value: float64(partition.Reserved)},
 		{Name: "part_cpus_used_ratio", Labels: labels, Value: partition.CPUUtilization},
 		{Name: "part_tasks_running", Labels: labels, Value: float64(partition.Running)},
+		{Name: "part_machines_unfenced", Labels: labels, Value: float64(partition.Unfenced)},
+		{Name: "part_former_leaders_answer_seconds", Labels: labels, Value: partition.FormerLeadersAnswerS},
 		{Name: "part_attempts_forgetting", Labels: labels, Value: float64(partition.Forgetting)},
 		{Name: "part_tasks_waiting", Labels: labels, Value: float64(partition.Waiting)},
 		{Name: "part_oldest_wait_seconds", Labels: labels, Value: partition.OldestWaitS},
--- a/internal/coordination/api/operations.go
+++ b/internal/coordination/api/operations.go
@@ -8,6 +8,7 @@
 
 	"micaspindle/internal/coordination/apierror"
 	"micaspindle/internal/coordination/cluster"
+	"micaspindle/internal/coordination/failover"
 	"micaspindle/internal/coordination/fairshare"
 	"micaspindle/internal/overview"
 	"micaspindle/internal/rights"
@@ -117,6 +118,7 @@
 		Delegates:            s.proxy.Overview(partition, now),
 		LongWaitingJobs:      partition.LongWaitingJobs,
 		JobsExcludedFromRoom: partition.JobsExcludedFromRoom,
+		FormerLeadersAnswerS: max(0, failover.Latest(s.leases.FormerLeaderBounds(partition)...).Until.Sub(now).Seconds()),
 	}
 	s.countMachines(&view)
 	s.countTasks(&view, now)
@@ -132,6 +134,9 @@
 		}
 		view.Machines++
 		view.Forgetting += machine.ReleasedAttempts()
+		if machine.AwaitsFence() {
+			view.Unfenced++
+		}
 		if machine.ReservedFor != fairshare.NoGroup {
 			view.Reserved++
 		}
--- a/internal/coordination/api/server.go
+++ b/internal/coordination/api/server.go
@@ -35,6 +35,7 @@
 	auth       Auth
 	cloud      Cloud
 	jobs       Jobs
+	leases     Leases
 	proxy      Proxy
 	replicator Replicator
 	watcher    EventApplier
@@ -46,8 +47,9 @@
 }
 
 // Connect sets the collaborators. It must be called before the event loop starts.
-func (s *Server) Connect(agents Agents, auth Auth, cloud Cloud, jobs Jobs, proxy Proxy, replicator Replicator, watcher EventApplier) {
-	s.agents, s.auth, s.cloud, s.jobs, s.proxy, s.replicator, s.watcher = agents, auth, cloud, jobs, proxy, replicator, watcher
+func (s *Server) Connect(agents Agents, auth Auth, cloud Cloud, jobs Jobs, leases Leases, proxy Proxy, replicator Replicator, watcher EventApplier) {
+	s.agents, s.auth, s.cloud, s.jobs, s.leases = agents, auth, cloud, jobs, leases
+	s.proxy, s.replicator, s.watcher = proxy, replicator, watcher
 }
 
 // Observe sets the metrics to update. It must be called before the event loop starts.
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -5,6 +5,7 @@
 
 	"micaspindle/internal/coordination/binpack"
 	"micaspindle/internal/coordination/contention"
+	"micaspindle/internal/coordination/failover"
 	"micaspindle/internal/coordination/fairshare"
 	"micaspindle/internal/protocol"
 	"micaspindle/internal/storage"
@@ -67,9 +68,9 @@
 	// AnsweredUntil is the latest time at which any controller may have answered a
 	// heartbeat.
 	AnsweredUntil time.Time
-	// FormerLeaderAnswersUntil is the time until which the leader of the machine's
-	// former partition may answer heartbeats, if the machine was moved.
-	FormerLeaderAnswersUntil time.Time
+	// MoveBound is the answer bound of the leader of the machine's former partition, if the
+	// machine was moved.
+	MoveBound failover.AnswerBound
 	// Lost is set once the lease has expired, so that nothing runs on the machine.
 	Lost bool
 
@@ -291,6 +292,12 @@
 	return false
 }
 
+// AwaitsFence reports whether the machine's agent may be running tasks and has not confirmed the
+// leader's fencing token.
+func (m *Machine) AwaitsFence() bool {
+	return !m.TokenConfirmed && !m.Lost && (m.HasReported || m.ReplicatedEpoch != 0 || len(m.Attempts) > 0)
+}
+
 // HasCancelledTask reports whether a task that is being stopped because its job has ended
 // is running on the machine or may still start there. Commands to such a machine are
 // repeated without waiting for earlier answers.
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -105,7 +105,7 @@
 	c.autoscaler.Connect(c.agents, c.cloud, c.peering, c.scheduler)
 	c.peering.Connect(c.jobs, c.proxy, c.replicator, c.scheduler)
 	c.watcher.Connect(c.agents, c.auth, c.autoscaler, c.jobs, c.leases, c.scheduler)
-	c.api.Connect(c.agents, c.auth, c.cloud, c.jobs, c.proxy, c.replicator, c.watcher)
+	c.api.Connect(c.agents, c.auth, c.cloud, c.jobs, c.leases, c.proxy, c.replicator, c.watcher)
 }
 
 // EnableAuth makes the controller authenticate and authorize requests. It is called before Run.
--- a/internal/coordination/failover/answer_bounds.go
+++ b/internal/coordination/failover/answer_bounds.go
@@ -2,6 +2,34 @@
 
 import "time"
 
+// BoundReason is what limits the time for which a controller may answer heartbeats.
+type BoundReason string
+
+// The reasons for answer bounds, as logged.
+const (
+	// BoundByLeaseEnd: the controller's lease ended or was replaced; its answer bound applies.
+	BoundByLeaseEnd BoundReason = "its lease ended"
+	// BoundByRelease: the controller released the lease, so that only its delegates may answer.
+	BoundByRelease BoundReason = "it released the lease"
+	// BoundByProcessEnd: the process ended, so that only its delegates may answer.
+	BoundByProcessEnd BoundReason = "its process ended"
+	// BoundByUnwatchedRecords: another controller may have held the lease while the records were
+	// not watched.
+	BoundByUnwatchedRecords BoundReason = "the records were not watched"
+	// BoundByOwnGrants: this controller lost the lease; its delegates may answer.
+	BoundByOwnGrants BoundReason = "own delegates' grants"
+	// BoundByMove: the leader of the machine's former partition may not know of the move yet.
+	BoundByMove BoundReason = "the machine was moved"
+)
+
+// AnswerBound is the latest time at which a controller, or one of its delegates, may answer a heartbeat.
+type AnswerBound struct {
+	Until time.Time
+	// Controller is the controller's label, or "" if it is not known.
+	Controller string
+	Reason     BoundReason
+}
+
 // FormerLeader is an incarnation of a controller that may have answered heartbeats of a partition's
 // machines. Each process is an incarnation of its own.
 type FormerLeader struct {
@@ -13,6 +41,8 @@
 	LeaseRevision uint64
 	// AnswersUntil is the latest time at which it may have answered a heartbeat.
 	AnswersUntil time.Time
+	// Reason is the reason for AnswersUntil.
+	Reason BoundReason
 }
 
 // RecordRelease records that a former leader has released its lease: it lowers the leader's AnswersUntil
@@ -21,24 +51,32 @@
 	for i := range all {
 		former := &all[i]
 		if former.Label == label && former.Nonce == nonce && former.LeaseRevision == leaseRevision && former.AnswersUntil.After(until) {
-			former.AnswersUntil = until
+			former.AnswersUntil, former.Reason = until, BoundByRelease
 		}
 	}
 }
 
-// AnsweredUntil returns the latest time at which any of the former leaders may have answered a
-// heartbeat. ended returns that time for an incarnation that is proven to have ended, or zero if there
-// is no such proof.
-func AnsweredUntil(all []FormerLeader, ended func(label, nonce string) time.Time) time.Time {
-	last := time.Time{}
+// Bounds returns the answer bound of each former leader. ended returns the latest time at which an
+// incarnation that is proven to have ended may have answered a heartbeat, or zero if there is no such
+// proof.
+func Bounds(all []FormerLeader, ended func(label, nonce string) time.Time) []AnswerBound {
+	bounds := make([]AnswerBound, 0, len(all))
 	for _, former := range all {
-		until := former.AnswersUntil
-		if end := ended(former.Label, former.Nonce); !end.IsZero() && end.Before(until) {
-			until = end
+		bound := AnswerBound{Until: former.AnswersUntil, Controller: former.Label, Reason: former.Reason}
+		if end := ended(former.Label, former.Nonce); !end.IsZero() && end.Before(bound.Until) {
+			bound.Until, bound.Reason = end, BoundByProcessEnd
 		}
-		if until.After(last) {
-			last = until
+		bounds = append(bounds, bound)
+	}
+	return bounds
+}
+
+// Latest returns the latest of some bounds, or the zero bound if there are none.
+func Latest(bounds ...AnswerBound) (latest AnswerBound) {
+	for _, bound := range bounds {
+		if bound.Until.After(latest.Until) {
+			latest = bound
 		}
 	}
-	return last
+	return latest
 }
--- a/internal/coordination/failover/failover_test.go
+++ b/internal/coordination/failover/failover_test.go
@@ -79,7 +79,7 @@
 
 func TestAnswerBounds(t *testing.T) {
 	at := func(s int) time.Time { return time.Unix(1000+int64(s), 0) }
-	all := []FormerLeader{{"n0", "x", 4, at(20)}, {"n1", "y", 7, at(23)}}
+	all := []FormerLeader{{"n0", "x", 4, at(20), BoundByLeaseEnd}, {"n1", "y", 7, at(23), BoundByLeaseEnd}}
 	for name, c := range map[string]struct {
 		ended map[string]time.Time
 		want  time.Time
@@ -90,21 +90,21 @@
 		"all incarnations ended":                           {map[string]time.Time{"n1/y": at(3), "n0/x": at(2)}, at(3)},
 		"another incarnation of the same controller ended": {map[string]time.Time{"n1/z": at(3)}, at(23)},
 	} {
-		if got := AnsweredUntil(all, func(label, nonce string) time.Time { return c.ended[label+"/"+nonce] }); !got.Equal(c.want) {
-			t.Errorf("%s: AnsweredUntil() = %v, want %v", name, got, c.want)
+		if got := Latest(Bounds(all, func(label, nonce string) time.Time { return c.ended[label+"/"+nonce] })...).Until; !got.Equal(c.want) {
+			t.Errorf("%s: the latest bound is %v, want %v", name, got, c.want)
 		}
 	}
 	never := func(string, string) time.Time { return time.Time{} }
 	for _, r := range []FormerLeader{{Label: "n1", Nonce: "y", LeaseRevision: 6}, {Label: "n1", Nonce: "z", LeaseRevision: 7}, {Label: "n0", Nonce: "y", LeaseRevision: 7}} {
-		if RecordRelease(all, r.Label, r.Nonce, r.LeaseRevision, at(1)); !AnsweredUntil(all, never).Equal(at(23)) {
+		if RecordRelease(all, r.Label, r.Nonce, r.LeaseRevision, at(1)); !Latest(Bounds(all, never)...).Until.Equal(at(23)) {
 			t.Errorf("RecordRelease for %+v, which is no former leader, lowered AnswersUntil of a former leader", r)
 		}
 	}
-	if RecordRelease(all, "n1", "y", 7, at(1)); !AnsweredUntil(all, never).Equal(at(20)) {
+	if RecordRelease(all, "n1", "y", 7, at(1)); !Latest(Bounds(all, never)...).Until.Equal(at(20)) {
 		t.Error("RecordRelease did not lower AnswersUntil of the former leader that released its lease")
 	}
-	if got := AnsweredUntil(nil, nil); !got.IsZero() {
-		t.Errorf("no former leaders: AnsweredUntil() = %v, want the zero time", got)
+	if got := Latest(Bounds(nil, nil)...).Until; !got.IsZero() {
+		t.Errorf("no former leaders: the latest bound is %v, want the zero time", got)
 	}
 }
 
--- a/internal/coordination/incarnation_test.go
+++ b/internal/coordination/incarnation_test.go
@@ -237,7 +237,7 @@
 		m := &cluster.Machine{}
 		check := func(name string, want time.Time) {
 			t.Helper()
-			if got := c.leases.LastAnswerBound(p, m); !got.Equal(want) {
+			if got := c.leases.LastAnswerBound(p, m).Until; !got.Equal(want) {
 				t.Errorf("%s: the last answer may have been given until %s, want %s", name, got, want)
 			}
 		}
--- a/internal/coordination/lease/answer_bounds.go
+++ b/internal/coordination/lease/answer_bounds.go
@@ -12,14 +12,15 @@
 
 // LastAnswerBound returns the latest time at which a former leader of a machine, or a delegate of a
 // former leader, may have answered the machine's heartbeats. p is the machine's partition.
-func (h *Holder) LastAnswerBound(p *cluster.Partition, m *cluster.Machine) time.Time {
-	until := failover.AnsweredUntil(p.FormerLeaders, func(label, nonce string) time.Time {
+func (h *Holder) LastAnswerBound(p *cluster.Partition, m *cluster.Machine) failover.AnswerBound {
+	return failover.Latest(append(h.FormerLeaderBounds(p), m.MoveBound)...)
+}
+
+// FormerLeaderBounds returns the present answer bounds of a partition's former leaders.
+func (h *Holder) FormerLeaderBounds(p *cluster.Partition) []failover.AnswerBound {
+	return failover.Bounds(p.FormerLeaders, func(label, nonce string) time.Time {
 		return h.EndedIncarnations[IncarnationID{Label: label, Nonce: nonce}]
 	})
-	if m.FormerLeaderAnswersUntil.After(until) {
-		until = m.FormerLeaderAnswersUntil
-	}
-	return until
 }
 
 // shortenAllBounds calls shortenBounds for all ready partitions that this controller leads.
@@ -39,7 +40,7 @@
 		if m.Record.Partition != p.Index || !m.AnsweredUntil.After(now) {
 			continue
 		}
-		if until := h.LastAnswerBound(p, m); until.Before(m.AnsweredUntil) {
+		if until := h.LastAnswerBound(p, m).Until; until.Before(m.AnsweredUntil) {
 			m.AnsweredUntil = until
 			if m.LastHeartbeatAt.After(until) && m.HasReported {
 				m.AnsweredUntil = m.LastHeartbeatAt
@@ -52,13 +53,13 @@
 // lease ends or gets another holder. The former leader may answer heartbeats until its answer bound
 // (rule 12).
 func (h *Holder) addFormerLeader(p *cluster.Partition, now time.Time) {
-	former := failover.FormerLeader{Label: p.Leader, Nonce: p.LeaderNonce, LeaseRevision: p.LeaseRevision, AnswersUntil: now.Add(h.AnswerBound())}
+	former := failover.FormerLeader{Label: p.Leader, Nonce: p.LeaderNonce, LeaseRevision: p.LeaseRevision, AnswersUntil: now.Add(h.AnswerBound()), Reason: failover.BoundByLeaseEnd}
 	if former.Label == h.Settings.Label && former.Nonce == h.Nonce {
-		former.AnswersUntil = lastOwnAnswer(p, now)
+		former.AnswersUntil, former.Reason = lastOwnAnswer(p, now), failover.BoundByOwnGrants
 	}
 	released := storage.ReleasedLease{Partition: p.Index, LeaseRevision: former.LeaseRevision}
 	if record := h.incarnations[former.Label]; record.Nonce == former.Nonce && slices.Contains(record.Released, released) {
-		former.AnswersUntil = now.Add(delegation.GrantDuration)
+		former.AnswersUntil, former.Reason = now.Add(delegation.GrantDuration), failover.BoundByRelease
 	}
 	p.FormerLeaders = append(stillAnswering(p.FormerLeaders, now), former)
 }
@@ -81,7 +82,7 @@
 func (h *Holder) AddUnknownLeaders(now time.Time) {
 	for _, p := range h.Partitions {
 		p.FormerLeaders = slices.DeleteFunc(stillAnswering(p.FormerLeaders, now), func(former failover.FormerLeader) bool { return former.Label == "" })
-		p.FormerLeaders = append(p.FormerLeaders, failover.FormerLeader{AnswersUntil: now.Add(h.AnswerBound())})
+		p.FormerLeaders = append(p.FormerLeaders, failover.FormerLeader{AnswersUntil: now.Add(h.AnswerBound()), Reason: failover.BoundByUnwatchedRecords})
 	}
 }
 
--- a/internal/coordination/takeover/collaborators.go
+++ b/internal/coordination/takeover/collaborators.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"micaspindle/internal/coordination/cluster"
+	"micaspindle/internal/coordination/failover"
 	"micaspindle/internal/coordination/replication"
 )
 
@@ -22,7 +23,9 @@
 	ClearLeaderState(p *cluster.Partition)
 	// LastAnswerBound returns the latest time at which another controller may have answered a
 	// heartbeat of a machine of a partition.
-	LastAnswerBound(p *cluster.Partition, m *cluster.Machine) time.Time
+	LastAnswerBound(p *cluster.Partition, m *cluster.Machine) failover.AnswerBound
+	// FormerLeaderBounds returns the present answer bounds of a partition's former leaders.
+	FormerLeaderBounds(p *cluster.Partition) []failover.AnswerBound
 }
 
 // Proxy delegates shards of a partition's machines to other controllers.
--- a/internal/coordination/takeover/install.go
+++ b/internal/coordination/takeover/install.go
@@ -111,9 +111,14 @@
 // token. The leases start at the last time at which a former leader may have answered a heartbeat
 // (rules 8, 12, 34).
 func (t *Takeover) fenceMachines(p *cluster.Partition, now time.Time) {
+	for _, bound := range t.leases.FormerLeaderBounds(p) {
+		if bound.Until.After(now) {
+			t.log.Info("former leader may answer heartbeats", "partition", p.Index, "controller", bound.Controller, "after", bound.Until.Sub(now), "reason", bound.Reason)
+		}
+	}
 	for _, m := range t.Machines {
 		if m.Record.Partition == p.Index {
-			m.AnsweredUntil = t.leases.LastAnswerBound(p, m)
+			m.AnsweredUntil = t.leases.LastAnswerBound(p, m).Until
 			m.LastHeartbeatAt, m.HeartbeatsExpectedSince = now, now
 			t.agents.Fence(m)
 		}
--- a/internal/overview/overview.go
+++ b/internal/overview/overview.go
@@ -65,6 +65,11 @@
 	// JobsExcludedFromRoom the number of those that their own failures keep from a machine with room.
 	LongWaitingJobs      int `msgpack:"waiting_long,omitempty" json:"waiting_long,omitempty"`
 	JobsExcludedFromRoom int `msgpack:"excluded_from_room,omitempty" json:"excluded_from_room,omitempty"`
+	// Unfenced is the number of machines with an expected agent that has not confirmed the leader's
+	// fencing token. FormerLeadersAnswerS is the time, in seconds, for which former leaders may
+	// still answer heartbeats of the partition's machines.
+	Unfenced             int     `msgpack:"unfenced,omitempty" json:"unfenced,omitempty"`
+	FormerLeadersAnswerS float64 `msgpack:"former_leaders_answer_s,omitempty" json:"former_leaders_answer_s,omitempty"`
 	// Forgetting is the number of ended attempts that the agents have not forgotten yet.
 	Forgetting int `msgpack:"forgetting,omitempty" json:"forgetting,omitempty"`
 	// CPUUtilization is the fraction of CPUs in use.
--- a/internal/telemetry/event.go
+++ b/internal/telemetry/event.go
@@ -23,6 +23,8 @@
 	MachineTokenRaised                 // writes of machine records that raised the machine's token
 	PartitionTokenRaised               // writes of token records, which raised the tokens of a partition's machines
 	MachineQuarantined                 // machines that were quarantined
+	HeartbeatOlderToken                // heartbeats answered whose agent had not received the leader's token
+	FenceUnanswered                    // messages with a new token that an agent did not answer
 	eventCount
 )
 
@@ -30,7 +32,7 @@
 var eventNames = [eventCount]string{"requests_refused", "jobs_late", "attempts_failed", "attempts_stopped", "machines_lost", "machines_asked",
 	"rentals_refused", "commits_conflicting", "commits_unanswered", "leases_ended",
 	"takeovers_warm", "takeovers_cold", "copies_differing", "parts_handed_over", "shares_moved",
-	"machine_tokens_raised", "part_tokens_raised", "machines_quarantined"}
+	"machine_tokens_raised", "part_tokens_raised", "machines_quarantined", "heartbeats_older_token", "fences_unanswered"}
 
 // metricName returns the name of an event's counter.
 func (e Event) metricName() string { return "micaspindle_" + eventNames[e] + "_total" }
