Tests: simulated agents give a heartbeat up after 4 s, as PROTOCOL has it

Cause: a simulated agent waited for the answer of a paused controller as long as the pause lasted, up to 14 s, and took that answer as a renewal of its lease. PROTOCOL lets it wait 4 s, go to the next controller, and drop what comes later.

Change: the response is awaited for 4 s. No check changes; agents of a paused leader now reach its successor, so that more of them run on while commands of the former leader arrive late.

--- a/internal/coordination/simulated_agents_test.go
+++ b/internal/coordination/simulated_agents_test.go
@@ -77,9 +77,28 @@
 	})
 }
 
-// sendHeartbeat delivers an agent's heartbeat to a controller and returns the status and body
-// of the response, or status 0 if there is none.
+// agentResponseTimeout is the time for which an agent waits for the response to a heartbeat.
+const agentResponseTimeout = 4 * time.Second
+
+// sendHeartbeat sends an agent's heartbeat to a controller and returns the status and body of the
+// response, or status 0 if there is none within agentResponseTimeout.
 func (sim *simulatedCluster) sendHeartbeat(machine, label string, heartbeat []byte) (int, []byte) {
+	responses := make(chan transport.Response, 1)
+	sim.group.Go(func() {
+		status, body := sim.deliverHeartbeat(machine, label, heartbeat)
+		responses <- transport.Response{Status: status, Body: body}
+	})
+	select {
+	case response := <-responses:
+		return response.Status, response.Body
+	case <-time.After(agentResponseTimeout):
+		return 0, nil
+	}
+}
+
+// deliverHeartbeat delivers an agent's heartbeat to a controller and returns the status and body of the
+// response, or status 0 if there is none.
+func (sim *simulatedCluster) deliverHeartbeat(machine, label string, heartbeat []byte) (int, []byte) {
 	sim.mu.Lock()
 	process := sim.controllers[label]
 	lost := sim.rng.Float64() < sim.messageFaultRate || sim.dropsMessage != nil && sim.dropsMessage(label, machine) || sim.outboundLost[machine]
