Keep a former leader until the leases that it extended last have expired

Callers would see: a machine's tasks started elsewhere up to some seconds early.

Cause: a former leader was dropped from the list as soon as its answer bound was over, because later ones have later bounds. That holds until a later one is proven to have stopped: an end of its process may prove a time before the dropped leader's bound, and the leases ran from there.

Change: it is dropped once its last answer is a machine lease (with drift and margin) ago. The same expression stood in CheckMachines; it is State.AgentLeaseBound now.

Measured: TestEarlierLeaderCountsAfterItsAnswerBound fails with the old condition ("1s before n1's bound, by n2"), passes with the new one; the package's tests pass.

--- a/internal/coordination/agents/machines.go
+++ b/internal/coordination/agents/machines.go
@@ -80,7 +80,7 @@
 // CheckMachines handles expired machine leases, and performs the periodic work for the other
 // machines.
 func (a *Agents) CheckMachines(now time.Time) {
-	leaseBound := time.Duration(float64(a.AgentLease)*cluster.ClockDriftFactor) + cluster.ClockMargin
+	leaseBound := a.AgentLeaseBound()
 	var toDelete []*cluster.Machine
 	a.logHeartbeatAnswering(now)
 	for _, machine := range a.Machines {
--- a/internal/coordination/answer_bounds_test.go
+++ b/internal/coordination/answer_bounds_test.go
@@ -279,3 +279,27 @@
 		}
 	})
 }
+
+// A former leader whose answer bound is just over counts until the leases that it extended last have
+// expired, also if the leader after it is proven to have stopped earlier.
+func TestEarlierLeaderCountsAfterItsAnswerBound(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		c, end := newIdleController(t)
+		defer end()
+		put := func(key string, version uint64, value any) {
+			c.watcher.ApplyEvent(protocol.Event{Put: key, Value: storage.Encode(value), Version: version})
+		}
+		put(storage.IncarnationKey("n2"), 2, storage.Incarnation{Nonce: "y", Lease: 1})
+		put(storage.LeaseKey(0), 3, storage.Lease{Holder: "n1", Nonce: "x"})
+		put(storage.LeaseKey(0), 4, storage.Lease{Holder: "n2", Nonce: "y"})
+		want := time.Now().Add(c.AnswerBound()) // of n1
+		time.Sleep(c.AnswerBound() - 3*time.Second)
+		put(storage.IncarnationKey("n2"), 5, storage.Incarnation{Nonce: "z", Lease: 2}) // n2 restarted: its bound is a second before n1's
+		time.Sleep(3100 * time.Millisecond)
+		c.watcher.ApplyEvent(protocol.Event{Delete: storage.LeaseKey(0), Version: 6})
+		if got := c.leases.LastAnswerBound(c.Partitions[0], &cluster.Machine{}); !got.Until.Equal(want) || got.Controller != "n1" {
+			t.Errorf("the last answer may have been given %s before n1's bound, by %s; want at that bound, by n1", want.Sub(got.Until), got.Controller)
+		}
+	})
+}
--- a/internal/coordination/cluster/partition.go
+++ b/internal/coordination/cluster/partition.go
@@ -35,7 +35,8 @@
 	TokenRecord TokenRecord
 	// VacantSince is the time since which the partition has had no leader.
 	VacantSince time.Time
-	// FormerLeaders are earlier leaders that may still answer agents' heartbeats.
+	// FormerLeaders are earlier leaders that may still answer agents' heartbeats, or whose last
+	// answers may keep machine leases valid.
 	FormerLeaders []failover.FormerLeader
 
 	// This controller's leadership of the partition.
--- a/internal/coordination/cluster/state.go
+++ b/internal/coordination/cluster/state.go
@@ -199,6 +199,12 @@
 	return max(0, s.CancelBound-s.AgentLease-2*ClockMargin)
 }
 
+// AgentLeaseBound returns the time after which an agent's lease has certainly expired, counted by this
+// controller's clock from the last answer to a heartbeat.
+func (s *State) AgentLeaseBound() time.Duration {
+	return time.Duration(float64(s.AgentLease)*ClockDriftFactor) + ClockMargin
+}
+
 // UpToDateAt returns the latest time at which this controller provably held its leases and
 // had received every cancellation confirmed to users so far. A lease renewal does not prove
 // that all cancellations were received, since it may succeed while the watch delivers no
--- a/internal/coordination/lease/answer_bounds.go
+++ b/internal/coordination/lease/answer_bounds.go
@@ -64,7 +64,7 @@
 	if record := h.incarnations[former.Label]; record.Nonce == former.Nonce && slices.Contains(record.Released, released) {
 		former.AnswersUntil, former.Reason = now.Add(delegation.GrantDuration), failover.BoundByRelease
 	}
-	p.FormerLeaders = append(stillAnswering(p.FormerLeaders, now), former)
+	p.FormerLeaders = append(h.dropPastLeaders(p.FormerLeaders, now), former)
 }
 
 // lastOwnAnswer returns the latest time at which this controller or one of its delegates may answer
@@ -84,18 +84,16 @@
 // another controller may have acquired and lost the lease while this one was not watching.
 func (h *Holder) AddUnknownLeaders(now time.Time) {
 	for _, p := range h.Partitions {
-		p.FormerLeaders = slices.DeleteFunc(stillAnswering(p.FormerLeaders, now), func(former failover.FormerLeader) bool { return former.Label == "" })
+		p.FormerLeaders = slices.DeleteFunc(h.dropPastLeaders(p.FormerLeaders, now), func(former failover.FormerLeader) bool { return former.Label == "" })
 		p.FormerLeaders = append(p.FormerLeaders, failover.FormerLeader{AnswersUntil: now.Add(h.AnswerBound()), Reason: failover.BoundByUnwatchedRecords})
 	}
 }
 
-// stillAnswering keeps, in place, the former leaders that may still answer heartbeats.
-func stillAnswering(all []failover.FormerLeader, now time.Time) []failover.FormerLeader {
-	answering := all[:0]
-	for _, former := range all {
-		if former.AnswersUntil.After(now) {
-			answering = append(answering, former)
-		}
-	}
-	return answering
+// dropPastLeaders removes, in place, the former leaders whose last answer is so long ago that no machine
+// lease that it extended is still valid. A leader that has only stopped answering is kept, since the
+// proof of another leader's end may give that one an earlier bound.
+func (h *Holder) dropPastLeaders(all []failover.FormerLeader, now time.Time) []failover.FormerLeader {
+	return slices.DeleteFunc(all, func(former failover.FormerLeader) bool {
+		return now.Sub(former.AnswersUntil) > h.AgentLeaseBound()
+	})
 }
