Send the fencing token again until the machine's agent has confirmed it

Cause: the message with the token was sent at a takeover, at a move and at each heartbeat under an older token, once each. If it was lost, or not sent since another request was in flight, only another heartbeat here led to the next one, and such an agent sends none.

Repeated messages have a thirty-second of the sockets; machines that have reported here go first.

Why nothing found it: the effect is an unused machine until the answer bound is over, which no check looks at; TestDelayedStopsAreRepeated has it for cancelled tasks only, whose commands were repeated.

The package's tests pass.

--- a/internal/coordination/agents/agents.go
+++ b/internal/coordination/agents/agents.go
@@ -36,6 +36,9 @@
 	// RepeatedCommands counts the requests in flight to machines to which an earlier request is
 	// still in flight.
 	RepeatedCommands int
+	// FenceRetriesInFlight counts the machines to which a repeated message with the fencing token
+	// is in flight.
+	FenceRetriesInFlight int
 }
 
 // New returns an Agents without collaborators. The caller must call Connect before using it.
--- a/internal/coordination/agents/command_delivery.go
+++ b/internal/coordination/agents/command_delivery.go
@@ -8,7 +8,6 @@
 
 	"micaspindle/internal/coordination/cluster"
 	"micaspindle/internal/protocol"
-	"micaspindle/internal/telemetry"
 	"micaspindle/internal/transport"
 )
 
@@ -161,6 +160,7 @@
 	}
 	now := time.Now()
 	a.recordCommandsSent(machine, now)
+	machine.FenceRetryAt = now.Add(fenceBackoff.First)
 	batch := protocol.CommandBatch{Token: a.Token(machine), Epoch: max(machine.Epoch, machine.ReplicatedEpoch, 1), Commands: []protocol.Command{}}
 	delegate := a.Partitions[machine.Record.Partition].Delegations.FenceRoute(machine.Shard, now)
 	name, addr, sentAfter := machine.Name, machine.Record.Addr, machine.Position()
@@ -185,9 +185,9 @@
 // position sentAfter was applied.
 func (a *Agents) applyFenceAnswer(machine *cluster.Machine, sentAfter cluster.HeartbeatPosition, heartbeat *protocol.Heartbeat, err error) {
 	a.recordCommandsAnswered(machine)
+	a.recordFenceAnswered(machine)
 	if err != nil {
-		a.metrics.Count(telemetry.FenceUnanswered, 1)
-		a.log.Info("machine not fenced", "machine", machine.Name, "token", a.Token(machine), "error", err)
+		a.recordFenceFailed(machine, time.Now(), err)
 		return
 	}
 	if a.isLedHere(machine) && heartbeat.Machine == machine.Name {
--- a/internal/coordination/agents/heartbeats.go
+++ b/internal/coordination/agents/heartbeats.go
@@ -164,6 +164,7 @@
 		return
 	}
 	machine.TokenConfirmed = true
+	machine.FenceFailures, machine.FenceRetryAt = 0, time.Time{}
 	partition.Wake()
 	a.log.With(boundAttributes(others, now)...).Info("machine fenced", "machine", machine.Name, "epoch", machine.Epoch, "token", machine.TokenSeen)
 }
--- a/internal/coordination/agents/machines.go
+++ b/internal/coordination/agents/machines.go
@@ -81,7 +81,7 @@
 // machines.
 func (a *Agents) CheckMachines(now time.Time) {
 	leaseBound := a.AgentLeaseBound()
-	var toDelete []*cluster.Machine
+	var toDelete, toFence []*cluster.Machine
 	a.logHeartbeatAnswering(now)
 	for _, machine := range a.Machines {
 		partition := a.Partitions[machine.Record.Partition]
@@ -98,7 +98,11 @@
 			toDelete = append(toDelete, machine)
 		}
 		a.checkMachine(machine, now)
+		if fenceRetryDue(machine, now) {
+			toFence = append(toFence, machine)
+		}
 	}
+	a.retryFences(toFence)
 	if len(toDelete) > 0 {
 		a.deleteOverdueMachines(toDelete[:min(len(toDelete), deleteBatchLimit)])
 	}
--- a/internal/coordination/agents/tokens.go
+++ b/internal/coordination/agents/tokens.go
@@ -58,8 +58,12 @@
 // flight. This requires that the machine has a task of a cancelled job and that the limits on
 // requests are not reached.
 func (a *Agents) mayRepeat(machine *cluster.Machine) bool {
-	limit := max(RepeatedCommandsMin, a.Settings.Params.ProcessLimits.Sockets/RepeatedCommandsSocketShare)
-	return machine.HasCancelledTask() && machine.CommandRequestsInFlight < commandRequestsInFlightLimit && a.RepeatedCommands < limit
+	return machine.HasCancelledTask() && machine.CommandRequestsInFlight < commandRequestsInFlightLimit && a.RepeatedCommands < a.repeatLimit()
+}
+
+// repeatLimit returns the limit on repeated requests in flight to machines that may be unreachable.
+func (a *Agents) repeatLimit() int {
+	return max(RepeatedCommandsMin, a.Settings.Params.ProcessLimits.Sockets/RepeatedCommandsSocketShare)
 }
 
 // awaitsHigherToken reports whether a released attempt must not be forgotten under the machine's
--- a/internal/coordination/cluster/machine.go
+++ b/internal/coordination/cluster/machine.go
@@ -92,6 +92,12 @@
 	// CommandsDeferred is set if more commands are to be sent once the requests in
 	// flight are answered.
 	CommandsDeferred bool
+	// FenceFailures is the number of consecutive messages with the fencing token that were not
+	// answered. The next one is due at FenceRetryAt. FenceRetryInFlight is set while a repeated
+	// one is in flight.
+	FenceFailures      int
+	FenceRetryAt       time.Time
+	FenceRetryInFlight bool
 	// ProbedAt is the time at which the agent was last asked whether it has restarted.
 	ProbedAt time.Time
 	// CommandsRetriedAt is the time at which commands were last repeated while no
@@ -183,6 +189,7 @@
 	}
 	m.TokenConfirmed, m.Lost, m.Moving, m.HasReported, m.TokenRaiseBy = false, false, false, false, time.Time{}
 	m.RetiringSince, m.ReservedFor, m.ReplicationSeq = time.Time{}, fairshare.NoGroup, 0
+	m.FenceFailures, m.FenceRetryAt = 0, time.Time{}
 	m.resetHealth()
 	m.RecountUsed()
 }
@@ -294,7 +301,7 @@
 // AwaitsFence reports whether the machine's agent may be running tasks and has not confirmed the
 // leader's fencing token.
 func (m *Machine) AwaitsFence() bool {
-	return !m.TokenConfirmed && !m.Lost && (m.HasReported || m.ReplicatedEpoch != 0 || len(m.Attempts) > 0)
+	return !m.TokenConfirmed && !m.Lost && (m.HasReported || m.ReplicatedEpoch != 0 || m.FenceFailures > 0 || len(m.Attempts) > 0)
 }
 
 // HasCancelledTask reports whether a task that is being stopped because its job has ended
