--- a/internal/coordination/api/reassign.go
+++ b/internal/coordination/api/reassign.go
@@ -60,6 +60,7 @@
 		return transport.Response{}, err
 	}
 	s.loop.Do(func() {
+		s.logReassignment("job reassigned", move, "")
 		s.jobs.SetFinalState(move.id, protocol.StatusCancelled, time.Now())
 		s.jobs.ApplyJobRecord(move.successor.ID, move.value)
 	})
@@ -128,6 +129,9 @@
 		if reason == "" && s.Dependencies.HasDependents(move.id) {
 			reason = "other jobs wait for this one; withdraw and submit the pipeline again"
 		}
+		if reason != "" {
+			s.logReassignment("reassignment refused", move, reason)
+		}
 	})
 	if reason != "" {
 		return reason
@@ -138,6 +142,18 @@
 	return ""
 }
 
+// logReassignment logs a decision on a reassignment with the state on which it rests: the jobs that wait
+// for the job in this controller's memory, and the age and revision of its records. It must be called in
+// the event loop.
+func (s *Server) logReassignment(message string, move *reassignment, reason string) {
+	attributes := []any{"job", move.id, "successor", move.successor.ID, "count", s.Dependencies.DependentsOf(move.id),
+		"records_revision", s.RecordsRevision, "records_age", time.Since(s.RecordsCurrentAt)}
+	if reason != "" {
+		attributes = append(attributes, "reason", reason)
+	}
+	s.log.Info(message, attributes...)
+}
+
 // chunks returns the maximum number of run records of the job.
 func (r *reassignment) chunks() int {
 	return (r.spec.Tasks + storage.ChunkTasks - 1) / storage.ChunkTasks
--- a/internal/coordination/api/server.go
+++ b/internal/coordination/api/server.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
 	"time"
 
@@ -28,6 +29,7 @@
 	*cluster.State
 	loop  *eventloop.Loop
 	store *storage.Store
+	log   *slog.Logger
 	// metrics is nil if no metrics are collected.
 	metrics *telemetry.Metrics
 
@@ -42,8 +44,8 @@
 }
 
 // New returns a Server without collaborators; Connect sets them.
-func New(state *cluster.State, loop *eventloop.Loop, store *storage.Store) *Server {
-	return &Server{State: state, loop: loop, store: store}
+func New(state *cluster.State, loop *eventloop.Loop, store *storage.Store, log *slog.Logger) *Server {
+	return &Server{State: state, loop: loop, store: store, log: log}
 }
 
 // Connect sets the collaborators. It must be called before the event loop starts.
--- a/internal/coordination/cluster/dependencies.go
+++ b/internal/coordination/cluster/dependencies.go
@@ -74,9 +74,15 @@
 }
 
 // HasDependents reports whether unfinished jobs depend on a job.
-func (g *DependencyGraph) HasDependents(id string) bool {
+func (g *DependencyGraph) HasDependents(id string) bool { return g.DependentsOf(id) > 0 }
+
+// DependentsOf returns the number of unfinished jobs that name a job as a dependency.
+func (g *DependencyGraph) DependentsOf(id string) int {
 	n, ok := g.NodeByJob[id]
-	return ok && len(g.Nodes[n].dependents) > 0
+	if !ok {
+		return 0
+	}
+	return len(g.Nodes[n].dependents)
 }
 
 // releaseIfUnused removes a node that has neither dependencies nor dependents, unless its job
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -85,7 +85,7 @@
 		peering:    peering.New(state, loop, network, store, log, bounds),
 		auth:       auth.New(state, loop, store, log, bounds),
 		watcher:    records.New(state, loop, store, log),
-		api:        api.New(state, loop, store),
+		api:        api.New(state, loop, store, log),
 	}
 	c.Dependencies.Init(c.Jobs, c.scheduler.JobRunTime)
 	c.connect()
--- a/internal/coordination/jobs/tracker.go
+++ b/internal/coordination/jobs/tracker.go
@@ -123,6 +123,9 @@
 	if status == protocol.StatusCancelled {
 		t.recordCancellation(id, at)
 	}
+	if n := t.Dependencies.DependentsOf(id); n > 0 && status == protocol.StatusCancelled {
+		t.log.Info("jobs are cancelled with their dependency", "job", id, "count", n, "records_revision", t.RecordsRevision)
+	}
 	for _, dependent := range t.Dependencies.JobEnded(id, status == protocol.StatusDone, time.Now()) {
 		if p := t.Partitions[dependent.Partition]; p.Held && p.Ready {
 			invalidateQueueOrder(p)
