Let jobs that depend on a reassigned job wait for its successor

Cause, two things. The final record of a reassigned job was taken for a cancellation by all that depend on it. And the only guard, a refusal where jobs wait, looked at one controller's memory, 0.88 s old in the trace, without a condition in the transaction.

Change (rule 60): a dependency on a reassigned job is one on its successor, which the final record names, whenever and wherever the dependent was accepted. So no order of records and no lag matters. A notice of a cancellation, which names no successor, stops tasks but decides nothing for dependents. The refusal asks the state store for what the watch has not brought. Versions before this one still withdraw dependents: each incarnation record says whether its process follows successors, those of all controllers are conditions of the transaction, and until then reassigning gets 503.

Why nothing found it: the test of reassignments had one dependent, known everywhere; random plans run without identities, so they never reassign; the safety check took a moved dependency for a cancelled one.

--- a/internal/coordination/api/collaborators.go
+++ b/internal/coordination/api/collaborators.go
@@ -22,8 +22,12 @@
 	HandleHeartbeat(heartbeat *protocol.Heartbeat, raw []byte) transport.Response
 }
 
-// Leases knows until when former leaders may answer heartbeats.
+// Leases knows until when former leaders may answer heartbeats, and which versions the controllers run.
 type Leases interface {
+	// SuccessorConditions returns the conditions under which a job may be reassigned, and the
+	// controllers that run a version which cancels the dependents of reassigned jobs. It must be
+	// called in the event loop.
+	SuccessorConditions() (conditions []protocol.Condition, missing []string)
 	// FormerLeaderBounds returns the present answer bounds of a partition's former leaders. It
 	// must be called in the event loop.
 	FormerLeaderBounds(p *cluster.Partition) []failover.AnswerBound
--- a/internal/coordination/api/reassign.go
+++ b/internal/coordination/api/reassign.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"micaspindle/internal/coordination/apierror"
@@ -19,12 +21,21 @@
 	// conditionsPerChange is the ratio of the maximum number of conditions in a transaction to
 	// the maximum number of changes.
 	conditionsPerChange = 4
-	// otherReassignConditions is the number of a reassignment's conditions on records other
-	// than run records: one each on the final record, the successor's record and the audit
-	// batch.
+	// otherReassignConditions is the number of a reassignment's conditions on records other than
+	// run records and incarnations: one each on the final record, the successor's record and the
+	// audit batch.
 	otherReassignConditions = 3
+	// reassignTries is the number of tries of a reassignment while incarnation records change.
+	reassignTries = 3
+	// retryMixedVersions is the Retry-After of a reassignment while an older version runs, in
+	// seconds.
+	retryMixedVersions = 30
 )
 
+// errIncarnationsChanged is returned if the incarnation record of a controller changed while a
+// reassignment was committed.
+var errIncarnationsChanged = errors.New("incarnation record of a controller has changed")
+
 // reassignment is the move of a job to another queue.
 type reassignment struct {
 	id       string
@@ -36,22 +47,46 @@
 	spec, successor *protocol.JobSpec
 	// value is the encoded record of the successor.
 	value []byte
+	// successorConditions demand that no controller runs a version which cancels the jobs that
+	// depend on a reassigned job.
+	successorConditions []protocol.Condition
 }
 
 // reassign moves a job that has not started to another queue. Job records are immutable, and a
 // controller of an older version must not run the job in its former queue. So one transaction
 // cancels the job and accepts a successor with a new id. Every start of a task is first written
-// to a run record, so the transaction is conditional on the absence of run records.
+// to a run record, so the transaction is conditional on the absence of run records. Jobs that depend on
+// the job, whenever they are accepted, wait for its successor (rule 60).
 func (s *Server) reassign(ctx context.Context, req request) (transport.Response, error) {
 	move, err := s.prepareReassignment(ctx, req)
 	if err != nil {
 		return transport.Response{}, err
 	}
+	for range reassignTries {
+		response, err := s.tryReassignment(ctx, req, move)
+		if !errors.Is(err, errIncarnationsChanged) {
+			return response, err
+		}
+	}
+	return transport.Response{}, apierror.NotReady("controllers are being restarted", retrySoon)
+}
+
+// tryReassignment checks a reassignment against all jobs accepted so far, and commits it.
+func (s *Server) tryReassignment(ctx context.Context, req request, move *reassignment) (transport.Response, error) {
+	if err := s.catchUpJobs(ctx); err != nil {
+		return transport.Response{}, err
+	}
+	if err := s.checkReassignable(move); err != nil {
+		return transport.Response{}, err
+	}
 	record := s.auth.AuditRecord(req.caller, verbReassign, move.from, move.id)
 	record.Detail = fmt.Sprintf("to team %s, class %s as %s", auth.TruncateForAudit(move.to.Team), auth.TruncateForAudit(move.to.Class), move.successor.ID)
-	_, err = s.auth.Commit(ctx, move.transaction(time.Now()), record)
+	txn, final := move.transaction(time.Now())
+	_, err := s.auth.Commit(ctx, txn, record)
 	var conflict *storage.Conflict
 	switch {
+	case errors.As(err, &conflict) && move.onlyIncarnations(conflict.Failed):
+		return transport.Response{}, errIncarnationsChanged
 	case errors.As(err, &conflict):
 		return s.answerConflictingReassignment(ctx, move.id, move.successor.ID)
 	case errors.Is(err, storage.ErrTooLarge):
@@ -61,8 +96,8 @@
 	}
 	s.loop.Do(func() {
 		s.logReassignment("job reassigned", move, "")
-		s.jobs.SetFinalState(move.id, protocol.StatusCancelled, time.Now())
 		s.jobs.ApplyJobRecord(move.successor.ID, move.value)
+		s.jobs.ApplyFinalRecord(move.id, final)
 	})
 	return success(http.StatusOK, protocol.JobStatus{ID: move.successor.ID, Status: protocol.StatusQueued}), nil
 }
@@ -89,9 +124,6 @@
 	successor := *spec
 	successor.ID, successor.Team, successor.Class, successor.Replaces = body.As, to.Team, to.Class, req.job
 	move := &reassignment{id: req.job, from: from, to: to, spec: spec, successor: &successor}
-	if reason := s.checkReassignable(move); reason != "" {
-		return nil, apierror.New(http.StatusUnprocessableEntity, reason)
-	}
 	move.value = storage.Encode(&successor)
 	return move, nil
 }
@@ -115,10 +147,12 @@
 	return body, nil
 }
 
-// checkReassignable returns the reason why a job can't be moved, or "" if it can. It sets the
-// partition of move.
-func (s *Server) checkReassignable(move *reassignment) (reason string) {
+// checkReassignable returns an error if a job can't be moved. It sets the partition of move and the
+// conditions on the controllers' versions.
+func (s *Server) checkReassignable(move *reassignment) error {
+	reason, missing := "", []string(nil)
 	s.loop.Do(func() {
+		move.successorConditions, missing = s.leases.SuccessorConditions()
 		team, ok := s.TeamIndex[move.spec.Team]
 		if !ok {
 			reason = "its team is not in the settings any more"
@@ -133,13 +167,43 @@
 			s.logReassignment("reassignment refused", move, reason)
 		}
 	})
-	if reason != "" {
-		return reason
+	limit := conditionsPerChange*s.store.TxnOps() - otherReassignConditions - len(move.successorConditions)
+	switch {
+	case reason != "":
+		return apierror.New(http.StatusUnprocessableEntity, reason)
+	case move.chunks() > limit:
+		return apierror.Newf(http.StatusUnprocessableEntity, "has more than %d tasks; withdraw it and submit it again", limit*storage.ChunkTasks)
+	case len(missing) > 0:
+		return apierror.NotReady(fmt.Sprintf("not while a controller has an older version, or has not started yet: %s", strings.Join(missing, ", ")), retryMixedVersions)
 	}
-	if limit := conditionsPerChange*s.store.TxnOps() - otherReassignConditions; move.chunks() > limit {
-		return fmt.Sprintf("has more than %d tasks; withdraw it and submit it again", limit*storage.ChunkTasks)
+	return nil
+}
+
+// catchUpJobs applies the records of all jobs that were written before the call. The watch may not have
+// delivered the latest ones yet.
+func (s *Server) catchUpJobs(ctx context.Context) error {
+	after, synced := uint64(0), false
+	s.loop.Do(func() { after, synced = s.RecordsRevision, s.Synced })
+	if !synced {
+		return storage.ErrRefused
 	}
-	return ""
+	changes, err := s.store.UserChanges(ctx, storage.JobsPrefix, after)
+	if err != nil {
+		return err
+	}
+	s.loop.Do(func() {
+		for _, event := range changes.Events {
+			s.watcher.ApplyEvent(event)
+		}
+	})
+	return nil
+}
+
+// onlyIncarnations reports whether all keys of a conflict are those of incarnation records.
+func (r *reassignment) onlyIncarnations(failed []string) bool {
+	return !slices.ContainsFunc(failed, func(key string) bool {
+		return !slices.ContainsFunc(r.successorConditions, func(condition protocol.Condition) bool { return condition.Key == key })
+	})
 }
 
 // logReassignment logs a decision on a reassignment with the state on which it rests: the jobs that wait
@@ -160,32 +224,41 @@
 }
 
 // transaction returns the transaction that cancels the job and accepts its successor, on
-// condition that no task was started.
-func (r *reassignment) transaction(now time.Time) *protocol.Transaction {
-	final := storage.FinalRecord{Status: protocol.StatusCancelled, AtMS: now.UnixMilli(), Successor: r.successor.ID}
-	txn := &protocol.Transaction{
+// condition that no task was started, and the job's final record in it.
+func (r *reassignment) transaction(now time.Time) (txn *protocol.Transaction, final []byte) {
+	final = storage.Encode(storage.FinalRecord{Status: protocol.StatusCancelled, AtMS: now.UnixMilli(), Successor: r.successor.ID})
+	txn = &protocol.Transaction{
 		If: []protocol.Condition{{Key: storage.FinalKey(r.id)}, {Key: storage.JobKey(r.successor.ID)}},
 		Then: []protocol.Change{
-			{Put: storage.FinalKey(r.id), Value: storage.Encode(final)},
+			{Put: storage.FinalKey(r.id), Value: final},
 			{Put: storage.JobKey(r.successor.ID), Value: r.value},
 		},
 	}
+	txn.If = append(txn.If, r.successorConditions...)
 	for chunk := range r.chunks() {
 		txn.If = append(txn.If, protocol.Condition{Key: storage.RunKey(r.partition, r.id, chunk)})
 	}
-	return txn
+	return txn, final
 }
 
 // answerConflictingReassignment returns the reason for a conflict of a reassignment. If the job
 // was already moved to the same successor, it returns the state of the successor.
 func (s *Server) answerConflictingReassignment(ctx context.Context, id, successor string) (transport.Response, error) {
-	item, err := s.store.UserGet(ctx, storage.FinalKey(id))
-	if errors.Is(err, storage.ErrNotFound) {
-		if _, err := s.store.UserGet(ctx, storage.JobKey(successor)); err == nil {
-			return transport.Response{}, apierror.New(http.StatusConflict, "the id for the successor is taken")
-		}
-		return transport.Response{}, apierror.New(http.StatusConflict, "the job has started")
+	response, err := s.answerEndedReassignment(ctx, id, successor)
+	if !errors.Is(err, storage.ErrNotFound) {
+		return response, err
+	}
+	if _, err := s.store.UserGet(ctx, storage.JobKey(successor)); err == nil {
+		return transport.Response{}, apierror.New(http.StatusConflict, "the id for the successor is taken")
 	}
+	return transport.Response{}, apierror.New(http.StatusConflict, "the job has started")
+}
+
+// answerEndedReassignment answers a reassignment of a job that has ended: with the state of the successor
+// if the job was moved to the same one, so that a repeated request gets the same answer whatever has
+// changed since. If the job has not ended, the error is storage.ErrNotFound.
+func (s *Server) answerEndedReassignment(ctx context.Context, id, successor string) (transport.Response, error) {
+	item, err := s.store.UserGet(ctx, storage.FinalKey(id))
 	if err != nil {
 		return transport.Response{}, err
 	}
--- a/internal/coordination/cluster/dependencies.go
+++ b/internal/coordination/cluster/dependencies.go
@@ -49,6 +49,28 @@
 	g.NodeByJob, g.JobsToCancel, g.jobs, g.runTime = map[string]int32{}, map[string]*Job{}, jobs, runTime
 }
 
+// JobEnd is what is known of the end of a job, as far as it matters to the jobs that depend on it.
+type JobEnd struct {
+	// Status is the job's final status, or "" if none is known from the job's final record.
+	Status string
+	// Successor is the id of the job that a reassigned job became, or "". The jobs that depend on a
+	// reassigned job depend on its successor.
+	Successor string
+	// At is the time at which the job ended, or zero if it is not known.
+	At time.Time
+}
+
+// resolveDependency follows the successors of a job that was reassigned, and returns the last one with its
+// end. A successor is accepted with the end of the job that it replaces, so there is no cycle.
+func resolveDependency(id string, endOf func(id string) JobEnd) (string, JobEnd) {
+	end := endOf(id)
+	for end.Successor != "" {
+		id = end.Successor
+		end = endOf(id)
+	}
+	return id, end
+}
+
 // nodeOf returns a job's node and adds it if there is none.
 func (g *DependencyGraph) nodeOf(id string) int32 {
 	n, ok := g.NodeByJob[id]
@@ -93,10 +115,8 @@
 	}
 }
 
-// Add adds a job whose record was read. final returns the final status of another job, or
-// "" if none is known, and the time at which that job ended, or zero if the time is not
-// known.
-func (g *DependencyGraph) Add(j *Job, final func(id string) (status string, at time.Time)) {
+// Add adds a job whose record was read. endOf returns the end of another job.
+func (g *DependencyGraph) Add(j *Job, endOf func(id string) JobEnd) {
 	id := j.Spec.ID
 	n, known := g.NodeByJob[id]
 	if len(j.Spec.Dependencies) == 0 && !known {
@@ -106,7 +126,7 @@
 		n = g.nodeOf(id)
 	}
 	g.Nodes[n].job = j
-	open, mustCancel := g.openDependencies(j, final)
+	open, mustCancel := g.openDependencies(j, endOf)
 	mustCancel = mustCancel || g.Nodes[n].mustCancel
 	j.Blocked = mustCancel || len(open) > 0
 	if mustCancel {
@@ -115,23 +135,30 @@
 		return
 	}
 	for _, dependency := range open {
-		d := g.nodeOf(dependency)
-		g.Nodes[n].dependencies = append(g.Nodes[n].dependencies, d)
-		g.Nodes[d].dependents = append(g.Nodes[d].dependents, n)
+		g.addEdge(n, dependency)
 	}
 	g.recomputeInherited(n)
 	g.propagateRequirements(n)
 	g.releaseIfUnused(n)
 }
 
-// openDependencies returns the unfinished dependencies of a job and whether the job must be
-// cancelled because of a dependency. It also sets the job's DependenciesDoneAt.
-func (g *DependencyGraph) openDependencies(j *Job, final func(id string) (status string, at time.Time)) (open []string, mustCancel bool) {
-	for _, dependency := range j.Spec.Dependencies {
-		switch status, at := final(dependency); status {
+// addEdge makes a job, by its node, depend on another job.
+func (g *DependencyGraph) addEdge(n int32, dependency string) {
+	d := g.nodeOf(dependency)
+	g.Nodes[n].dependencies = append(g.Nodes[n].dependencies, d)
+	g.Nodes[d].dependents = append(g.Nodes[d].dependents, n)
+}
+
+// openDependencies returns the unfinished dependencies of a job, successors in place of jobs that were
+// reassigned, and whether the job must be cancelled because of a dependency. It also sets the job's
+// DependenciesDoneAt.
+func (g *DependencyGraph) openDependencies(j *Job, endOf func(id string) JobEnd) (open []string, mustCancel bool) {
+	for _, named := range j.Spec.Dependencies {
+		dependency, end := resolveDependency(named, endOf)
+		switch end.Status {
 		case protocol.StatusDone:
-			if at.After(j.DependenciesDoneAt) {
-				j.DependenciesDoneAt = at
+			if end.At.After(j.DependenciesDoneAt) {
+				j.DependenciesDoneAt = end.At
 			}
 		case protocol.StatusCancelled:
 			mustCancel = true
@@ -147,25 +174,28 @@
 	return open, mustCancel
 }
 
-// JobEnded removes a job that is done or cancelled, and returns the jobs that thereby
-// become ready.
-func (g *DependencyGraph) JobEnded(id string, done bool, now time.Time) []*Job {
+// JobEnded removes a job that is done, cancelled or reassigned, and returns the jobs that thereby become
+// ready. endOf returns the end of each job. Jobs that depend on a reassigned job depend on its successor
+// from then on.
+func (g *DependencyGraph) JobEnded(id string, endOf func(id string) JobEnd, now time.Time) []*Job {
 	delete(g.JobsToCancel, id)
 	n, ok := g.NodeByJob[id]
 	if !ok {
 		return nil
 	}
+	last, end := resolveDependency(id, endOf)
 	var ready []*Job
 	for _, d := range g.Nodes[n].dependents {
-		node := &g.Nodes[d]
-		node.dependencies = removeIndex(node.dependencies, n)
-		switch {
-		case !done:
+		g.Nodes[d].dependencies = removeIndex(g.Nodes[d].dependencies, n)
+		switch end.Status {
+		case protocol.StatusCancelled:
 			g.markToCancel(d)
-		case len(node.dependencies) == 0 && !node.mustCancel && node.job != nil:
-			node.job.Blocked, node.job.DependenciesDoneAt = false, now
-			ready = append(ready, node.job)
-			g.releaseIfUnused(d)
+		case protocol.StatusDone:
+			if job := g.unblock(d, now); job != nil {
+				ready = append(ready, job)
+			}
+		default:
+			g.replaceDependency(d, last)
 		}
 	}
 	dependencies := g.Nodes[n].dependencies
@@ -181,6 +211,31 @@
 	return ready
 }
 
+// unblock returns the job of a node if all its dependencies are done, and marks it ready.
+func (g *DependencyGraph) unblock(n int32, now time.Time) *Job {
+	node := &g.Nodes[n]
+	job := node.job
+	if len(node.dependencies) > 0 || node.mustCancel || job == nil {
+		return nil
+	}
+	job.Blocked, job.DependenciesDoneAt = false, now
+	g.releaseIfUnused(n)
+	return job
+}
+
+// replaceDependency makes a job depend on the successor of a dependency that was reassigned.
+func (g *DependencyGraph) replaceDependency(n int32, successor string) {
+	if g.Nodes[n].mustCancel {
+		return
+	}
+	g.addEdge(n, successor)
+	if g.Nodes[g.NodeByJob[successor]].mustCancel {
+		g.markToCancel(n)
+		return
+	}
+	g.propagateRequirements(n)
+}
+
 // markToCancel marks a job and its direct and indirect dependents as to be cancelled.
 func (g *DependencyGraph) markToCancel(n int32) {
 	stack := []int32{n}
--- a/internal/coordination/cluster/state.go
+++ b/internal/coordination/cluster/state.go
@@ -68,6 +68,12 @@
 	Jobs map[string]*Job
 	// FinalStates are the final statuses of ended jobs, by id. An entry never changes.
 	FinalStates map[string]string
+	// Successors are the ids of the jobs that reassigned jobs became, by the ids of the reassigned
+	// ones, whose final status is cancelled.
+	Successors map[string]string
+	// NoticedCancellations are the jobs whose cancellation is known from another controller's notice
+	// only. Whether such a job was reassigned is in its final record.
+	NoticedCancellations map[string]bool
 	// ListedEndTimes are the times at which jobs ended, by id. It is nil except while a
 	// listing is applied.
 	ListedEndTimes map[string]time.Time
@@ -135,6 +141,8 @@
 
 		Jobs:                 map[string]*Job{},
 		FinalStates:          map[string]string{},
+		Successors:           map[string]string{},
+		NoticedCancellations: map[string]bool{},
 		Machines:             map[string]*Machine{},
 		DeletedMachines:      map[string]time.Time{},
 		UnregisteredMachines: map[string]*peer.UnregisteredMachine{},
--- a/internal/coordination/jobs/cancellation.go
+++ b/internal/coordination/jobs/cancellation.go
@@ -18,12 +18,16 @@
 }
 
 // ApplyCancellationNotices applies another controller's notices of committed cancellations. A final
-// record never changes, so a notice is valid however late it arrives (rule 43).
+// record never changes, so a notice is valid however late it arrives (rule 43). It stops the job's tasks.
+// The jobs that depend on the job wait for its final record, which says whether it was reassigned (rule 60).
 func (t *Tracker) ApplyCancellationNotices(summary *peer.Summary, now time.Time) {
 	for _, notice := range summary.Cancelled {
 		if protocol.ValidJobID(notice.Job) {
 			age := time.Duration(notice.AgeMs) * time.Millisecond
-			t.SetFinalState(notice.Job, protocol.StatusCancelled, now.Add(-age))
+			if t.FinalStates[notice.Job] == "" {
+				t.NoticedCancellations[notice.Job] = true
+				t.endJob(notice.Job, protocol.StatusCancelled, now.Add(-age))
+			}
 		}
 	}
 }
--- a/internal/coordination/jobs/tracker.go
+++ b/internal/coordination/jobs/tracker.go
@@ -46,15 +46,18 @@
 		return
 	}
 	if j := t.LoadJobRecord(id, raw); j != nil {
-		t.Dependencies.Add(j, t.finalOf)
+		t.Dependencies.Add(j, t.endOf)
 		t.wakeForJobsToCancel()
 	}
 }
 
-// finalOf returns a job's final status, or "" if there is none, and the time at which the job
-// ended, which is only available while a listing of the records is applied.
-func (t *Tracker) finalOf(id string) (string, time.Time) {
-	return t.FinalStates[id], t.ListedEndTimes[id]
+// endOf returns the end of a job according to its final record. The time at which the job ended is only
+// available while a listing of the records is applied.
+func (t *Tracker) endOf(id string) cluster.JobEnd {
+	if t.NoticedCancellations[id] {
+		return cluster.JobEnd{}
+	}
+	return cluster.JobEnd{Status: t.FinalStates[id], Successor: t.Successors[id], At: t.ListedEndTimes[id]}
 }
 
 // LoadJobRecord decodes a job record and adds the job to the unfinished jobs, without its
@@ -110,28 +113,51 @@
 	if final.AtMS > 0 {
 		at = cluster.MonotonicTime(final.AtMS, at)
 	}
+	if final.Successor != "" {
+		t.Successors[id] = final.Successor
+	}
 	t.SetFinalState(id, final.Status, at)
 }
 
-// SetFinalState sets the final state of a job, done or cancelled. at is the earliest time at which
-// the job may have ended. The final state of a job never changes, so an existing one is kept.
+// SetFinalState sets the final state of a job, done or cancelled, that is on record. at is the earliest
+// time at which the job may have ended. The final state of a job never changes, so an existing one is
+// kept.
 func (t *Tracker) SetFinalState(id, status string, at time.Time) {
-	if t.FinalStates[id] != "" {
+	if t.FinalStates[id] != "" && !t.NoticedCancellations[id] {
 		return
 	}
-	t.FinalStates[id] = status
-	if status == protocol.StatusCancelled {
-		t.recordCancellation(id, at)
-	}
-	if n := t.Dependencies.DependentsOf(id); n > 0 && status == protocol.StatusCancelled {
-		t.log.Info("jobs are cancelled with their dependency", "job", id, "count", n, "records_revision", t.RecordsRevision)
+	delete(t.NoticedCancellations, id)
+	t.endJob(id, status, at)
+	t.updateDependents(id)
+}
+
+// updateDependents informs the jobs that depend on a job of its end, which is on record: they become ready,
+// are to be cancelled with it, or wait for its successor.
+func (t *Tracker) updateDependents(id string) {
+	if n := t.Dependencies.DependentsOf(id); n > 0 && t.FinalStates[id] == protocol.StatusCancelled {
+		message := "jobs are cancelled with their dependency"
+		if t.Successors[id] != "" {
+			message = "jobs wait for the successor of their dependency"
+		}
+		t.log.Info(message, "job", id, "successor", t.Successors[id], "count", n, "records_revision", t.RecordsRevision)
 	}
-	for _, dependent := range t.Dependencies.JobEnded(id, status == protocol.StatusDone, time.Now()) {
+	for _, dependent := range t.Dependencies.JobEnded(id, t.endOf, time.Now()) {
 		if p := t.Partitions[dependent.Partition]; p.Held && p.Ready {
 			invalidateQueueOrder(p)
 		}
 	}
 	t.wakeForJobsToCancel()
+}
+
+// endJob sets the final state of a job, unless it has one already, and stops the job.
+func (t *Tracker) endJob(id, status string, at time.Time) {
+	if t.FinalStates[id] != "" {
+		return
+	}
+	t.FinalStates[id] = status
+	if status == protocol.StatusCancelled && t.Successors[id] == "" {
+		t.recordCancellation(id, at)
+	}
 	j := t.Jobs[id]
 	if j == nil {
 		return
@@ -160,7 +186,9 @@
 	now := time.Now()
 	if status == protocol.StatusCancelled {
 		j.CancelledAt = at
-		t.log.Info("job cancelled", "job", j.Spec.ID, "count", len(j.LiveAttempts))
+		if t.Successors[j.Spec.ID] == "" {
+			t.log.Info("job cancelled", "job", j.Spec.ID, "count", len(j.LiveAttempts))
+		}
 	}
 	for _, a := range j.LiveAttempts {
 		t.agents.StopAttempt(a, 0, now)
--- a/internal/coordination/lease/incarnations.go
+++ b/internal/coordination/lease/incarnations.go
@@ -63,7 +63,7 @@
 // controller lease.
 func (h *Holder) incarnationTransaction(leaseID uint64) *protocol.Transaction {
 	key, own := storage.IncarnationKey(h.Settings.Label), h.incarnations[h.Settings.Label]
-	record := storage.Incarnation{Nonce: h.Nonce, Lease: leaseID}
+	record := storage.Incarnation{Nonce: h.Nonce, Lease: leaseID, FollowsSuccessors: true}
 	if own.Nonce == h.Nonce {
 		record.Released = own.Released
 	}
@@ -73,6 +73,20 @@
 	}
 }
 
+// SuccessorConditions returns the conditions under which a job may be reassigned: that each controller's
+// present process follows successors, as its incarnation record says. missing are the controllers whose
+// record does not say so. It runs in the event loop.
+func (h *Holder) SuccessorConditions() (conditions []protocol.Condition, missing []string) {
+	for _, label := range h.Labels {
+		record := h.incarnations[label]
+		if !record.FollowsSuccessors {
+			missing = append(missing, label)
+		}
+		conditions = append(conditions, protocol.Condition{Key: storage.IncarnationKey(label), Version: record.revision})
+	}
+	return conditions, missing
+}
+
 func (h *Holder) applyOwnIncarnation(e protocol.Event) {
 	h.loop.Do(func() { h.ApplyIncarnation(h.Settings.Label, e) })
 }
--- a/internal/coordination/simulated_cluster_test.go
+++ b/internal/coordination/simulated_cluster_test.go
@@ -102,7 +102,8 @@
 	cancelledAt     time.Time
 	finalStatus     string
 	tasksDone       map[int]bool
-	starts          int // number of attempts that agents have started
+	starts          int    // number of attempts that agents have started
+	successor       string // the job that this one was reassigned to
 }
 
 // allControllers are the labels of the controllers. The slice must not be modified.
--- a/internal/storage/keys.go
+++ b/internal/storage/keys.go
@@ -14,9 +14,10 @@
 	leasePrefix = "w/c/"
 	// The key of a token record precedes those of machine records, so that a listing never
 	// holds a token record that is newer than its machine records (rule 55).
-	tokenPrefix       = "w/f/"
-	machinePrefix     = "w/m/"
-	jobPrefix         = "w/j/"
+	tokenPrefix   = "w/f/"
+	machinePrefix = "w/m/"
+	// JobsPrefix is the prefix of the records of all jobs.
+	JobsPrefix        = "w/j/"
 	incarnationPrefix = "w/l/"
 	runPrefix         = "r/"
 	// LeadershipKey is the key of the cluster leader's lease.
@@ -66,7 +67,7 @@
 func IncarnationKey(label string) string { return incarnationPrefix + label }
 
 // JobPrefix returns the prefix of a job's specification and final record.
-func JobPrefix(id string) string { return jobPrefix + id + "/" }
+func JobPrefix(id string) string { return JobsPrefix + id + "/" }
 
 // JobKey returns the key of an accepted job's specification.
 func JobKey(id string) string { return JobPrefix(id) + jobRecord }
@@ -110,13 +111,13 @@
 		return KindToken, key[len(tokenPrefix):]
 	case strings.HasPrefix(key, machinePrefix):
 		return KindMachine, key[len(machinePrefix):]
-	case strings.HasPrefix(key, jobPrefix):
-		return parseJobKey(key[len(jobPrefix):])
+	case strings.HasPrefix(key, JobsPrefix):
+		return parseJobKey(key[len(JobsPrefix):])
 	}
 	return KindOther, ""
 }
 
-// parseJobKey returns the kind and the job of a key, given the part after jobPrefix.
+// parseJobKey returns the kind and the job of a key, given the part after JobsPrefix.
 func parseJobKey(rest string) (RecordKind, string) {
 	id, record, _ := strings.Cut(rest, "/")
 	switch record {
--- a/internal/storage/records.go
+++ b/internal/storage/records.go
@@ -18,6 +18,9 @@
 	// Released has the most recent partition leases that this incarnation gave up voluntarily,
 	// after it had stopped acting under them.
 	Released []ReleasedLease `msgpack:"r,omitempty"`
+	// FollowsSuccessors is set by versions in which jobs that depend on a reassigned job wait for
+	// its successor. Older versions cancel them.
+	FollowsSuccessors bool `msgpack:"fs,omitempty"`
 }
 
 // ReleasedLease identifies a released partition lease by its revision.
--- a/internal/storage/user_requests.go
+++ b/internal/storage/user_requests.go
@@ -36,6 +36,15 @@
 	return s.page(ctx, prefix, "", listPageSize)
 }
 
+// UserChanges returns the changes under prefix after a revision that were made before the request, for a
+// user's request. If the state store no longer has the changes, the error is ErrCompacted.
+func (s *Store) UserChanges(ctx context.Context, prefix string, after uint64) (*protocol.Events, error) {
+	if err := s.admitUser(ctx, 0); err != nil {
+		return nil, err
+	}
+	return s.changes(ctx, prefix, after, 0, ImmediateWatchTimeout)
+}
+
 // UserCommit commits a submission or a cancellation. Other controllers may briefly exhaust the state
 // store's rate limit, so refusals by it are retried within userWaitLimit.
 func (s *Store) UserCommit(ctx context.Context, txn *protocol.Transaction) (revision uint64, err error) {
