Answer a repeated reassignment from the job's final record first

Callers would see: a reassignment whose answer was lost is repeated and gets 422, though it was carried out: where the successor no longer fits any machine type or limit, or at a controller that still knew jobs that wait for the moved one.

Cause: the checks ran first, and the final record was only read after a conflict.

Measured: TestRepeatedReassignmentIsNotJudgedAnew gets 422 with the old order, passes now.

--- a/internal/coordination/api/reassign.go
+++ b/internal/coordination/api/reassign.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return transport.Response{}, err
 	}
+	if response, err := s.answerEndedReassignment(ctx, move.id, move.successor.ID); !errors.Is(err, storage.ErrNotFound) {
+		return response, err
+	}
 	for range reassignTries {
 		response, err := s.tryReassignment(ctx, req, move)
 		if !errors.Is(err, errIncarnationsChanged) {
--- a/internal/coordination/reassignment_dependents_test.go
+++ b/internal/coordination/reassignment_dependents_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -284,3 +285,22 @@
 		sim.waitForAllJobs(3 * time.Minute)
 	})
 }
+
+// A repeated reassignment gets the same answer although it would be refused now.
+func TestRepeatedReassignmentIsNotJudgedAnew(t *testing.T) {
+	t.Parallel()
+	runSimulationWithIdentities(t, 5760, func(sim *simulatedCluster) {
+		race := &reassignmentRace{sim}
+		sim.withLock(func() { sim.cloud.Capacity = 0 })
+		sim.submit(newJobSpecOfClass("job-1", "red", "match"))
+		race.expect(race.reassign("n2", "job-1", "job-2"), 200)
+		for _, label := range allControllers {
+			sim.onController(label, func(c *Controller) { c.SetCatalog([]protocol.MachineType{{Name: "tiny", CPUs: 0.1, MemGB: 0.1}}) })
+			race.expect(race.reassign(label, "job-1", "job-2"), 200)
+			race.expect(race.reassign(label, "job-1", fmt.Sprint("job-9", label[1:])), 409)
+			sim.onController(label, func(c *Controller) { c.SetCatalog(sim.cloud.Types) })
+		}
+		sim.withLock(func() { sim.cloud.Capacity = 12 })
+		sim.waitForAllJobs(3 * time.Minute)
+	})
+}
