Cancel all jobs of a submitter also where the watch is behind

Callers would see: an administrator cancels all jobs of an identity, is told that none remain, and a job that another controller accepted a moment before runs on.

Cause: the request lists the jobs in this controller's memory, as old as its last answered watch.

Change: it asks the state store first for what the watch has not brought, as reassignments do; a controller that can't refuses with 503.

--- a/internal/coordination/api/cancellations.go
+++ b/internal/coordination/api/cancellations.go
@@ -85,12 +85,16 @@
 
 // cancelAll cancels the unfinished jobs of one submitter in the queues that the caller administers.
 // A request cancels a limited number of jobs in a limited time. The response contains the number of
-// remaining jobs; the caller repeats the request until there are none.
+// remaining jobs; the caller repeats the request until there are none. Jobs accepted before the request are
+// included, wherever they were accepted.
 func (s *Server) cancelAll(ctx context.Context, req request) (transport.Response, error) {
 	var body protocol.CancelAll
 	if err := protocol.Decode(req.Body, &body); err != nil || body.SubmittedBy == "" {
 		return transport.Response{}, apierror.New(http.StatusBadRequest, "by: whose jobs are to be withdrawn")
 	}
+	if err := s.catchUpJobs(ctx); err != nil {
+		return transport.Response{}, err
+	}
 	unfinished := s.unfinishedJobsOf(body.SubmittedBy)
 	allowed := slices.DeleteFunc(unfinished, func(job jobInQueue) bool { return !s.mayAdministerJob(req.caller, job) })
 	// DeleteFunc zeroes the deleted elements, but the length of unfinished stays the same.
--- a/internal/coordination/api/reassign.go
+++ b/internal/coordination/api/reassign.go
@@ -182,26 +182,6 @@
 	return nil
 }
 
-// catchUpJobs applies the records of all jobs that were written before the call. The watch may not have
-// delivered the latest ones yet.
-func (s *Server) catchUpJobs(ctx context.Context) error {
-	after, synced := uint64(0), false
-	s.loop.Do(func() { after, synced = s.RecordsRevision, s.Synced })
-	if !synced {
-		return storage.ErrRefused
-	}
-	changes, err := s.store.UserChanges(ctx, storage.JobsPrefix, after)
-	if err != nil {
-		return err
-	}
-	s.loop.Do(func() {
-		for _, event := range changes.Events {
-			s.watcher.ApplyEvent(event)
-		}
-	})
-	return nil
-}
-
 // onlyIncarnations reports whether all keys of a conflict are those of incarnation records.
 func (r *reassignment) onlyIncarnations(failed []string) bool {
 	return !slices.ContainsFunc(failed, func(key string) bool {
--- a/internal/coordination/authorization_test.go
+++ b/internal/coordination/authorization_test.go
@@ -343,3 +343,28 @@
 		}
 	})
 }
+
+// The cancellation of all jobs of a submitter includes those that another controller has just accepted,
+// although the answers to the watch of the controller that cancels are late.
+func TestCancelAllAtAControllerThatIsBehind(t *testing.T) {
+	t.Parallel()
+	runSimulationWithIdentities(t, 5770, func(sim *simulatedCluster) {
+		race := &reassignmentRace{sim}
+		sim.withLock(func() { sim.cloud.Capacity = 0 })
+		race.delayWatch("n1")
+		s := newJobSpecOfClass("job-1", "red", "match")
+		sim.withLock(func() {
+			sim.jobs[s.ID] = newAcceptedJob(s)
+			sim.jobs[s.ID].cancelRequested = true
+		})
+		sim.expectStatus(201, sim.requestAs("person/anna", "n0", "POST", "/submissions", encodeSubmission(s)))
+		response := sim.expectStatus(200, sim.requestAs("person/root", "n1", "POST", "/withdrawals", protocol.CancelAll{SubmittedBy: "person/anna"}))
+		var result protocol.CancelAllResult
+		panicOnError(protocol.Decode(response.Body, &result))
+		if result.Cancelled != 1 || result.Remaining != 0 {
+			t.Errorf("%d jobs cancelled, %d remain; want 1 and 0", result.Cancelled, result.Remaining)
+		}
+		sim.withLock(func() { sim.onResponse, sim.cloud.Capacity = nil, 12 })
+		sim.waitForAllJobs(time.Minute)
+	})
+}
