Tests: random reassignments beside submissions, polls and cancellations

Change: six seeds of 40 jobs with dependencies, some reassigned or cancelled, at random controllers, one of whose watches is 0.3 s late at any time. The checks are those of every simulated cluster.

--- a/internal/coordination/reassignment_dependents_test.go
+++ b/internal/coordination/reassignment_dependents_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -112,17 +113,23 @@
 
 // reassign asks a controller to reassign a job, and returns the status.
 func (r *reassignmentRace) reassign(label, id, as string) int {
-	added := false
+	added, cancelRequested := false, false
 	r.withLock(func() {
+		cancelRequested, r.jobs[id].cancelRequested = r.jobs[id].cancelRequested, true
 		if added = r.jobs[as] == nil; added {
-			r.jobs[as] = newAcceptedJob(newJobSpecOfClass(as, "blue", "match"))
+			spec := *r.jobs[id].spec
+			spec.ID, spec.Team = as, "blue"
+			r.jobs[as] = newAcceptedJob(&spec)
 		}
 	})
 	status := r.requestAs("person/root", label, "POST", "/submissions/"+id+"/reassign", protocol.Reassignment{As: as, Team: "blue"}).Status
 	r.withLock(func() {
 		if status == 200 {
-			r.jobs[id].successor, r.jobs[id].cancelRequested = as, true
-		} else if added {
+			r.jobs[id].successor = as
+			return
+		}
+		r.jobs[id].cancelRequested = cancelRequested
+		if added {
 			delete(r.jobs, as)
 		}
 	})
@@ -304,3 +311,52 @@
 		sim.waitForAllJobs(3 * time.Minute)
 	})
 }
+
+// Random submissions with dependencies, reassignments and cancellations at controllers whose watches are late
+// withdraw no job that nobody cancelled, and all jobs end.
+func TestRandomReassignments(t *testing.T) {
+	t.Parallel()
+	for seed := uint64(5800); seed < 5806; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			runSimulationWithIdentities(t, seed, func(sim *simulatedCluster) {
+				race := &reassignmentRace{sim}
+				rng := rand.New(rand.NewPCG(seed, 3))
+				sim.setRunTime(2 * time.Second)
+				sim.withLock(func() { sim.cloud.Capacity = 2 })
+				reassigned := 0
+				for i := range 40 {
+					race.delayWatch(allControllers[rng.IntN(3)])
+					s := newJobSpecOfClass(fmt.Sprint("job-", i), "red", "match")
+					for range min(i, rng.IntN(3)) {
+						if id := fmt.Sprint("job-", max(0, i-1-rng.IntN(6))); !slices.Contains(s.Dependencies, id) {
+							s.Dependencies = append(s.Dependencies, id)
+						}
+					}
+					sim.withLock(func() { sim.jobs[s.ID] = newSubmittedJob(s) })
+					sim.submitUntilAccepted(s, rng.IntN(3))
+					switch id := fmt.Sprint("job-", max(0, i-rng.IntN(4))); rng.IntN(5) {
+					case 0, 1:
+						if race.reassign(allControllers[rng.IntN(3)], id, fmt.Sprint("job-", 100+i)) == 200 {
+							reassigned++
+						}
+					case 2:
+						if rng.IntN(3) == 0 {
+							sim.cancelJob(id)
+						}
+					}
+					for range rng.IntN(3) {
+						sim.poll(allControllers[rng.IntN(3)], fmt.Sprint("job-", rng.IntN(i+1)))
+						time.Sleep(time.Duration(rng.IntN(400)) * time.Millisecond)
+					}
+				}
+				sim.withLock(func() { sim.onResponse, sim.cloud.Capacity = nil, 16 })
+				sim.waitForAllJobs(10 * time.Minute)
+				if reassigned == 0 {
+					t.Error("no job was reassigned")
+				}
+				t.Logf("%d jobs reassigned", reassigned)
+			})
+		})
+	}
+}
