Cancel the dependents of a job that ended with an unknown status, as before

Cause: the change that lets dependents wait for a successor took any status but done and cancelled for "not over yet". A record of a later version with another status would then have left dependents waiting for ever, on a node of the graph that was given up. Found when the change was read again.

Change: only a reassigned job's dependents get another dependency; all else that is not done cancels them, as before.

Measured: TestDependentsOfUnknownEndsAreCancelled fails without it for both statuses, passes with it.

--- a/internal/coordination/cluster/dependencies.go
+++ b/internal/coordination/cluster/dependencies.go
@@ -187,15 +187,15 @@
 	var ready []*Job
 	for _, d := range g.Nodes[n].dependents {
 		g.Nodes[d].dependencies = removeIndex(g.Nodes[d].dependencies, n)
-		switch end.Status {
-		case protocol.StatusCancelled:
-			g.markToCancel(d)
-		case protocol.StatusDone:
+		switch {
+		case end.Status == protocol.StatusDone:
 			if job := g.unblock(d, now); job != nil {
 				ready = append(ready, job)
 			}
-		default:
+		case end.Status == "" && last != id:
 			g.replaceDependency(d, last)
+		default:
+			g.markToCancel(d)
 		}
 	}
 	dependencies := g.Nodes[n].dependencies
--- a/internal/coordination/dependencies_test.go
+++ b/internal/coordination/dependencies_test.go
@@ -288,6 +288,26 @@
 	}
 }
 
+// A job whose dependency ended with a status that this version does not know is cancelled: it can never start.
+func TestDependentsOfUnknownEndsAreCancelled(t *testing.T) {
+	t.Parallel()
+	for _, status := range []string{"", "expired"} {
+		var g cluster.DependencyGraph
+		jobs := map[string]*cluster.Job{}
+		g.Init(jobs, func(*cluster.Job) time.Duration { return time.Second })
+		finals := map[string]string{}
+		endOf := func(id string) cluster.JobEnd { return cluster.JobEnd{Status: finals[id]} }
+		for _, s := range []*protocol.JobSpec{newJobSpec("job-1", 1, "red"), newDependentJobSpec("job-2", 1, "red", "job-1")} {
+			jobs[s.ID] = &cluster.Job{Spec: s}
+			g.Add(jobs[s.ID], endOf)
+		}
+		finals["job-1"] = status
+		if ready := g.JobEnded("job-1", endOf, time.Now()); len(ready) > 0 || g.JobsToCancel["job-2"] == nil {
+			t.Errorf("status %q: %d jobs ready, dependent to be cancelled: %v; want 0 and true", status, len(ready), g.JobsToCancel["job-2"] != nil)
+		}
+	}
+}
+
 // checkDependencyGraph compares the blocked jobs, the jobs to cancel and the inherited urgencies
 // and deadlines with a direct computation.
 func checkDependencyGraph(t *testing.T, seed uint64, g *cluster.DependencyGraph, all []*cluster.Job, jobs map[string]*cluster.Job, finals map[string]string) {
