Don't take a released lease up again when an older state of its record arrives

Callers would see: a controller that has released a partition goes on answering its agents, while the successor counts on its having stopped, so that a task could run twice.

Cause: a controller applies its own release before the watch brings it. A listing that was requested before, or a late answer to the watch with the acquisition, then passed for a new lease, since only the revision of the present lease was compared, which is 0 after a release. The cluster leadership likewise.

Change: changes of a lease's record are applied in the order of their revisions, deletions included.

Measured: TestOldLeaseRecordsAreIgnored fails in both rows on the former code, passes now.

--- a/internal/coordination/autoscaler/leadership.go
+++ b/internal/coordination/autoscaler/leadership.go
@@ -11,9 +11,10 @@
 // ApplyLeadership applies a change of the leadership record.
 func (a *Autoscaler) ApplyLeadership(event protocol.Event, now time.Time) {
 	leadership := &a.Leadership
-	if event.Version < leadership.Revision || event.Put != "" && event.Version == leadership.Revision {
-		return // already applied
+	if event.Version <= leadership.AppliedRevision {
+		return // this change or a newer one was applied
 	}
+	leadership.AppliedRevision = event.Version
 	if event.Delete != "" {
 		a.applyVacancy(now)
 		return
--- a/internal/coordination/cluster/leadership.go
+++ b/internal/coordination/cluster/leadership.go
@@ -25,6 +25,9 @@
 	// Revision is the revision of the leadership record in the state store, or 0 if there
 	// is none.
 	Revision uint64
+	// AppliedRevision is the revision of the newest change of the record that was applied, its
+	// deletion included. Older changes are ignored.
+	AppliedRevision uint64
 	// VacantSince is the time since which there has been no cluster leader.
 	VacantSince time.Time
 
--- a/internal/coordination/cluster/partition.go
+++ b/internal/coordination/cluster/partition.go
@@ -31,6 +31,10 @@
 	// LeaseRevision is the revision of the lease's record in the state store, or 0 if there
 	// is none.
 	LeaseRevision uint64
+	// LeaseAppliedRevision is the revision of the newest change of the lease's record that was
+	// applied, its deletion included. Older changes, which a listing or a late answer to a watch
+	// may bring, are ignored.
+	LeaseAppliedRevision uint64
 	// TokenRecord is the partition's token record.
 	TokenRecord TokenRecord
 	// VacantSince is the time since which the partition has had no leader.
--- a/internal/coordination/incarnation_test.go
+++ b/internal/coordination/incarnation_test.go
@@ -301,3 +301,49 @@
 		}
 	})
 }
+
+// A controller that has released or lost a lease does not take it up again when it receives an older state
+// of the lease's record: from a listing requested before, or from a late answer to a watch. Successors
+// count on its having stopped (rules 11, 34).
+func TestOldLeaseRecordsAreIgnored(t *testing.T) {
+	t.Parallel()
+	for _, row := range []struct {
+		name string
+		key  string
+		held func(c *Controller) bool
+	}{
+		{"partition", storage.LeaseKey(0), func(c *Controller) bool { return c.Partitions[0].Held }},
+		{"cluster leadership", storage.LeadershipKey, func(c *Controller) bool { return c.Leadership.Held }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c, end := newIdleController(t)
+				defer end()
+				lease := storage.Encode(storage.Lease{Holder: "n0", Nonce: c.Nonce})
+				put := protocol.Event{Put: row.key, Value: lease, Version: 10}
+				if c.watcher.ApplyEvent(put); !row.held(c) {
+					t.Fatal("the lease was not taken up")
+				}
+				c.watcher.ApplyEvent(protocol.Event{Delete: row.key, Version: 15}) // its own release, before the watch brings it
+				c.watcher.ApplyEvent(put)
+				if row.held(c) {
+					t.Error("a late answer to the watch revived the released lease")
+				}
+				c.watcher.ApplyListing([]protocol.Item{{Key: row.key, Value: lease, Version: 10}}, 12)
+				if row.held(c) {
+					t.Error("a listing of an older revision revived the released lease")
+				}
+				formerLeader, vacantSince := c.Partitions[0].FormerLeader, c.Partitions[0].VacantSince
+				time.Sleep(time.Second)
+				c.watcher.ApplyEvent(protocol.Event{Delete: row.key, Version: 15})
+				if p := c.Partitions[0]; p.FormerLeader != formerLeader || !p.VacantSince.Equal(vacantSince) {
+					t.Errorf("the release was applied again: former leader %q, vacant for %s less; want %q and 0", p.FormerLeader, p.VacantSince.Sub(vacantSince), formerLeader)
+				}
+				if c.watcher.ApplyEvent(protocol.Event{Put: row.key, Value: lease, Version: 16}); !row.held(c) {
+					t.Error("a newer lease was not taken up")
+				}
+			})
+		})
+	}
+}
--- a/internal/coordination/lease/acquisition.go
+++ b/internal/coordination/lease/acquisition.go
@@ -77,11 +77,14 @@
 	h.loop.Do(func() { h.records.ApplyEvent(protocol.Event{Put: key, Value: value, Version: acquired}) })
 }
 
-// ApplyLease applies a change of a partition's lease record.
+// ApplyLease applies a change of a partition's lease record, unless a change at least as new was applied:
+// this controller applies its own acquisitions and releases before the watch brings them, and a lease that
+// it has released must not count as held again (rules 11, 34).
 func (h *Holder) ApplyLease(p *cluster.Partition, e protocol.Event, now time.Time) {
-	if e.Version < p.LeaseRevision || e.Put != "" && e.Version == p.LeaseRevision {
+	if e.Version <= p.LeaseAppliedRevision {
 		return
 	}
+	p.LeaseAppliedRevision = e.Version
 	if p.LeaseRevision != 0 {
 		h.addFormerLeader(p, now)
 	}
