--- a/internal/coordination/answer_bounds_test.go
+++ b/internal/coordination/answer_bounds_test.go
@@ -38,9 +38,8 @@
 
 func newBoundFixture(t *testing.T) (f *boundFixture, end func()) {
 	t.Helper()
-	c, end := newIdleController(t)
+	c, end := newServedController(t, withoutTicks)
 	f = &boundFixture{Controller: c, t: t, sequence: 40}
-	go c.loop.Serve(t.Context(), func(time.Time) {})
 	f.partition, f.machine = c.leadFirstPartition(newToken)
 	f.partition.Leader, f.partition.LeaderNonce = "n0", c.Nonce
 	c.watcher.ApplyEvent(protocol.Event{Put: storage.IncarnationKey("n1"), Value: storage.Encode(storage.Incarnation{Nonce: "x", Lease: 1}), Version: 2})
--- a/internal/coordination/api/reassign.go
+++ b/internal/coordination/api/reassign.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"strings"
 	"time"
 
@@ -18,13 +17,6 @@
 )
 
 const (
-	// conditionsPerChange is the ratio of the maximum number of conditions in a transaction to
-	// the maximum number of changes.
-	conditionsPerChange = 4
-	// otherReassignConditions is the number of a reassignment's conditions on records other than
-	// run records and incarnations: one each on the final record, the successor's record and the
-	// audit batch.
-	otherReassignConditions = 3
 	// reassignTries is the number of tries of a reassignment while incarnation records change.
 	reassignTries = 3
 	// retryMixedVersions is the Retry-After of a reassignment while an older version runs, in
@@ -36,22 +28,6 @@
 // reassignment was committed.
 var errIncarnationsChanged = errors.New("incarnation record of a controller has changed")
 
-// reassignment is the move of a job to another queue.
-type reassignment struct {
-	id       string
-	from, to rights.Queue
-	// partition is the partition that holds the job's run records.
-	partition int
-	// spec is the specification of the job, and successor the specification of the job that
-	// replaces it.
-	spec, successor *protocol.JobSpec
-	// value is the encoded record of the successor.
-	value []byte
-	// successorConditions demand that no controller runs a version which cancels the jobs that
-	// depend on a reassigned job.
-	successorConditions []protocol.Condition
-}
-
 // reassign moves a job that has not started to another queue. Job records are immutable, and a
 // controller of an older version must not run the job in its former queue. So one transaction
 // cancels the job and accepts a successor with a new id. Every start of a task is first written
@@ -182,13 +158,6 @@
 	return nil
 }
 
-// onlyIncarnations reports whether all keys of a conflict are those of incarnation records.
-func (r *reassignment) onlyIncarnations(failed []string) bool {
-	return !slices.ContainsFunc(failed, func(key string) bool {
-		return !slices.ContainsFunc(r.successorConditions, func(condition protocol.Condition) bool { return condition.Key == key })
-	})
-}
-
 // logReassignment logs a decision on a reassignment with the state on which it rests: the jobs that wait
 // for the job in this controller's memory, and the age and revision of its records. It must be called in
 // the event loop.
@@ -201,29 +170,6 @@
 	s.log.Info(message, attributes...)
 }
 
-// chunks returns the maximum number of run records of the job.
-func (r *reassignment) chunks() int {
-	return (r.spec.Tasks + storage.ChunkTasks - 1) / storage.ChunkTasks
-}
-
-// transaction returns the transaction that cancels the job and accepts its successor, on
-// condition that no task was started, and the job's final record in it.
-func (r *reassignment) transaction(now time.Time) (txn *protocol.Transaction, final []byte) {
-	final = storage.Encode(storage.FinalRecord{Status: protocol.StatusCancelled, AtMS: now.UnixMilli(), Successor: r.successor.ID})
-	txn = &protocol.Transaction{
-		If: []protocol.Condition{{Key: storage.FinalKey(r.id)}, {Key: storage.JobKey(r.successor.ID)}},
-		Then: []protocol.Change{
-			{Put: storage.FinalKey(r.id), Value: final},
-			{Put: storage.JobKey(r.successor.ID), Value: r.value},
-		},
-	}
-	txn.If = append(txn.If, r.successorConditions...)
-	for chunk := range r.chunks() {
-		txn.If = append(txn.If, protocol.Condition{Key: storage.RunKey(r.partition, r.id, chunk)})
-	}
-	return txn, final
-}
-
 // answerConflictingReassignment returns the reason for a conflict of a reassignment. If the job
 // was already moved to the same successor, it returns the state of the successor.
 func (s *Server) answerConflictingReassignment(ctx context.Context, id, successor string) (transport.Response, error) {
@@ -258,30 +204,3 @@
 	}
 	return success(http.StatusOK, status), nil
 }
-
-// showArguments returns the arguments in a job's submission.
-func (s *Server) showArguments(ctx context.Context, req request) (transport.Response, error) {
-	queue, err := s.auth.AuthorizeJob(ctx, req.caller, rights.ViewArguments, req.job)
-	if err != nil {
-		return transport.Response{}, err
-	}
-	spec, err := s.readSpec(ctx, req.job)
-	if err != nil {
-		return transport.Response{}, err
-	}
-	// Arguments may be sensitive and are rarely read, so each read commits its own audit record.
-	record := s.auth.AuditRecord(req.caller, verbViewArguments, queue, req.job)
-	if _, err := s.auth.Commit(ctx, &protocol.Transaction{}, record); err != nil {
-		return transport.Response{}, err
-	}
-	return success(http.StatusOK, spec.Arguments()), nil
-}
-
-// readSpec reads a job's record. The error is errNoSuchJob if there is none.
-func (s *Server) readSpec(ctx context.Context, id string) (*protocol.JobSpec, error) {
-	spec, err := s.auth.ReadSpec(ctx, id)
-	if errors.Is(err, storage.ErrNotFound) {
-		return nil, errNoSuchJob
-	}
-	return spec, err
-}
--- a/internal/coordination/fence_retries_test.go
+++ b/internal/coordination/fence_retries_test.go
@@ -76,12 +76,9 @@
 		t.Run(fmt.Sprint(row.lost, " lost"), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				c, end := newIdleController(t)
+				c, end := newServedController(t, (*Controller).tick)
 				defer end()
 				setNetwork(c, &lossyAgentsNetwork{lost: row.lost, sent: map[string]int{}})
-				ctx, stop := context.WithCancel(t.Context())
-				defer stop()
-				go c.loop.Serve(ctx, c.tick)
 				c.loop.Do(func() {
 					_, _ = c.leadFirstPartition(5)
 					c.addUnfencedMachines(1)
@@ -102,13 +99,10 @@
 func TestRepeatedFencesAreBounded(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		c, end := newIdleController(t)
+		c, end := newServedController(t, (*Controller).tick)
 		defer end()
 		network := &lossyAgentsNetwork{lost: 1000, sent: map[string]int{}}
 		setNetwork(c, network)
-		ctx, stop := context.WithCancel(t.Context())
-		defer stop()
-		go c.loop.Serve(ctx, c.tick)
 		const machines = 2 * agents.RepeatedCommandsMin
 		c.loop.Do(func() {
 			_, _ = c.leadFirstPartition(5)
--- a/internal/coordination/heartbeat_test.go
+++ b/internal/coordination/heartbeat_test.go
@@ -1,7 +1,6 @@
 package coordination
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -224,11 +223,8 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				c, end := newIdleController(t)
+				c, end := newServedController(t, withoutTicks)
 				defer end()
-				loop, stop := context.WithCancel(t.Context())
-				defer stop()
-				go c.loop.Serve(loop, func(time.Time) {})
 				_, m := c.leadFirstPartition(9)
 				answer := protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 1, Sequence: tc.answer, Token: 9}
 				setNetwork(c, heartbeatNetwork{time.Second, protocol.Encode(&answer)})
@@ -260,11 +256,8 @@
 func TestAttemptsOfALaterEpochEndAfterARestart(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		c, end := newIdleController(t)
+		c, end := newServedController(t, withoutTicks)
 		defer end()
-		loop, stop := context.WithCancel(t.Context())
-		defer stop()
-		go c.loop.Serve(loop, func(time.Time) {})
 		answer := protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: 1, Sequence: 2, Token: 9}
 		setNetwork(c, heartbeatNetwork{time.Millisecond, protocol.Encode(&answer)})
 		c.loop.Do(func() {
--- a/internal/coordination/late_commands_test.go
+++ b/internal/coordination/late_commands_test.go
@@ -226,11 +226,9 @@
 func TestRepeatedCommandsAreBounded(t *testing.T) {
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
-		c, end := newIdleController(t)
+		c, end := newServedController(t, (*Controller).tick)
 		defer end()
 		setNetwork(c, unresponsiveNetwork{})
-		loop, stop := context.WithCancel(t.Context())
-		go c.loop.Serve(loop, c.tick)
 		c.loop.Do(func() {
 			_, _ = c.leadFirstPartition(5)
 			for i := range 100 {
@@ -271,7 +269,6 @@
 		if limit := max(agents.RepeatedCommandsMin, c.Settings.Params.ProcessLimits.Sockets/agents.RepeatedCommandsSocketShare); repeatedMax != limit {
 			t.Errorf("at most %d repeated commands were in flight, want %d", repeatedMax, limit)
 		}
-		stop()
 	})
 }
 
--- a/internal/coordination/test_controller_test.go
+++ b/internal/coordination/test_controller_test.go
@@ -51,6 +51,18 @@
 	return c, func() { cancel(); c.loop.StopUnstarted() }
 }
 
+// newServedController is newIdleController with a running event loop, which calls tick.
+func newServedController(t *testing.T, tick func(c *Controller, now time.Time)) (c *Controller, end func()) {
+	t.Helper()
+	c, endLoop := newIdleController(t)
+	ctx, stop := context.WithCancel(t.Context())
+	go c.loop.Serve(ctx, func(now time.Time) { tick(c, now) })
+	return c, func() { stop(); endLoop() }
+}
+
+// withoutTicks makes the event loop of newServedController do nothing by itself.
+func withoutTicks(*Controller, time.Time) {}
+
 // newLeadingController returns a controller that leads every partition and whose network does
 // not answer, and the partition of the team green.
 func newLeadingController(t testing.TB) (c *Controller, p *cluster.Partition) {
