Tests: no data races in the new tests of bounds and reassignments

Cause: the tests that came with the bounds, the repeated fences and the reassignments had been run without the race detector only. They used the controller's state beside its event loop, replaced its network while a request was under way, and shared a flag between goroutines.

Change: the fixture of the bounds enters the event loop, its network is one object from the start, and the hook before a commit is a sync.Once. The rows and what they expect are the same.

--- a/internal/coordination/answer_bounds_test.go
+++ b/internal/coordination/answer_bounds_test.go
@@ -33,26 +33,48 @@
 	t         *testing.T
 	partition *cluster.Partition
 	machine   *cluster.Machine
+	network   *singleAnswerNetwork
 	sequence  uint64
 }
 
 func newBoundFixture(t *testing.T) (f *boundFixture, end func()) {
 	t.Helper()
 	c, end := newServedController(t, withoutTicks)
-	f = &boundFixture{Controller: c, t: t, sequence: 40}
-	f.partition, f.machine = c.leadFirstPartition(newToken)
-	f.partition.Leader, f.partition.LeaderNonce = "n0", c.Nonce
-	c.watcher.ApplyEvent(protocol.Event{Put: storage.IncarnationKey("n1"), Value: storage.Encode(storage.Incarnation{Nonce: "x", Lease: 1}), Version: 2})
-	f.partition.FormerLeaders = []failover.FormerLeader{
-		{Label: "n1", Nonce: "x", LeaseRevision: formerToken, AnswersUntil: time.Now().Add(c.AnswerBound()), Reason: failover.BoundByLeaseEnd}}
-	c.takeover.Install(f.partition, &replication.Replica{}, nil, false)
+	f = &boundFixture{Controller: c, t: t, network: &singleAnswerNetwork{}, sequence: 40}
+	setNetwork(c, f.network)
+	f.applyIncarnation("n1", 2, storage.Incarnation{Nonce: "x", Lease: 1})
+	c.loop.Do(func() {
+		f.partition, f.machine = c.leadFirstPartition(newToken)
+		f.partition.Leader, f.partition.LeaderNonce = "n0", c.Nonce
+		f.partition.FormerLeaders = []failover.FormerLeader{
+			{Label: "n1", Nonce: "x", LeaseRevision: formerToken, AnswersUntil: time.Now().Add(c.AnswerBound()), Reason: failover.BoundByLeaseEnd}}
+	})
+	f.install()
 	return f, end
 }
 
+// install completes the takeover.
+func (f *boundFixture) install() {
+	f.loop.Do(func() { f.takeover.Install(f.partition, &replication.Replica{}, nil, false) })
+}
+
+// applyIncarnation applies a controller's incarnation record.
+func (f *boundFixture) applyIncarnation(label string, revision uint64, record storage.Incarnation) {
+	f.loop.Do(func() {
+		f.watcher.ApplyEvent(protocol.Event{Put: storage.IncarnationKey(label), Value: storage.Encode(record), Version: revision})
+	})
+}
+
+// answers returns the machine's answer times.
+func (f *boundFixture) answers() (times cluster.AnswerTimes) {
+	f.loop.Do(func() { times = f.machine.Answers })
+	return times
+}
+
 // nextHeartbeat returns the agent's next heartbeat under a token.
 func (f *boundFixture) nextHeartbeat(epoch, token uint64) *protocol.Heartbeat {
 	f.sequence++
-	f.RecordsCurrentAt, f.LeaseRenewedAt = time.Now(), time.Now()
+	f.loop.Do(func() { f.RecordsCurrentAt, f.LeaseRenewedAt = time.Now(), time.Now() })
 	return &protocol.Heartbeat{Machine: "m-1", Addr: "m-1:1", Epoch: epoch, Sequence: f.sequence, Token: token, Tasks: []protocol.TaskReport{}}
 }
 
@@ -60,7 +82,9 @@
 func (f *boundFixture) report(epoch, token uint64) {
 	f.t.Helper()
 	heartbeat := f.nextHeartbeat(epoch, token)
-	if response := f.agents.HandleHeartbeat(heartbeat, protocol.Encode(heartbeat)); response.Status != 200 {
+	var response transport.Response
+	f.loop.Do(func() { response = f.agents.HandleHeartbeat(heartbeat, protocol.Encode(heartbeat)) })
+	if response.Status != 200 {
 		f.t.Fatalf("heartbeat got status %d, want 200", response.Status)
 	}
 }
@@ -78,33 +102,41 @@
 
 // moveFromPartition1 moves the machine from partition 1 to the partition under test.
 func (f *boundFixture) moveFromPartition1(revision uint64) {
-	f.agents.ApplyMachineRecord("m-1", storage.Machine{Partition: 1, Type: "small", Addr: "m-1:1"}, revision-1, time.Now())
-	f.agents.ApplyMachineRecord("m-1", storage.Machine{Partition: 0, Type: "small", Addr: "m-1:1"}, revision, time.Now())
+	f.loop.Do(func() {
+		f.agents.ApplyMachineRecord("m-1", storage.Machine{Partition: 1, Type: "small", Addr: "m-1:1"}, revision-1, time.Now())
+		f.agents.ApplyMachineRecord("m-1", storage.Machine{Partition: 0, Type: "small", Addr: "m-1:1"}, revision, time.Now())
+	})
 }
 
-// singleAnswerNetwork answers one request with a heartbeat, and no other.
+// singleAnswerNetwork answers the first request after setAnswer, and no other.
 type singleAnswerNetwork struct {
-	answer []byte
 	mu     sync.Mutex
-	used   bool
+	answer []byte
 }
 
-// Do returns the heartbeat, or waits until the sender's context ends.
+// setAnswer sets the body of the next answer.
+func (n *singleAnswerNetwork) setAnswer(body []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.answer = body
+}
+
+// Do returns the answer, or waits until the sender's context ends.
 func (n *singleAnswerNetwork) Do(ctx context.Context, addr, method, target string, body []byte) (*transport.Response, error) {
 	n.mu.Lock()
-	first := !n.used
-	n.used = true
+	answer := n.answer
+	n.answer = nil
 	n.mu.Unlock()
-	if !first {
+	if answer == nil {
 		return unresponsiveNetwork{}.Do(ctx, addr, method, target, body)
 	}
-	return &transport.Response{Status: 200, Body: n.answer}, nil
+	return &transport.Response{Status: 200, Body: answer}, nil
 }
 
 // answerToRequest makes the agent answer a request without commands with a heartbeat.
 func (f *boundFixture) answerToRequest(epoch, sequence, token uint64) {
 	heartbeat := &protocol.Heartbeat{Machine: "m-1", Epoch: epoch, Sequence: sequence, Token: token, Tasks: []protocol.TaskReport{}}
-	setNetwork(f.Controller, &singleAnswerNetwork{answer: protocol.Encode(heartbeat)})
+	f.network.setAnswer(protocol.Encode(heartbeat))
 	f.loop.Do(func() {
 		f.machine.CommandRequestsInFlight = 0 // the message of the takeover was lost
 		f.agents.Fence(f.machine)
@@ -156,15 +188,15 @@
 			f.report(2, newToken+3)
 		}, at},
 		{"another process of the former leader's", func(f *boundFixture) {
-			f.watcher.ApplyEvent(protocol.Event{Put: storage.IncarnationKey("n1"), Value: storage.Encode(storage.Incarnation{Nonce: "z", Lease: 2}), Version: 20})
+			f.applyIncarnation("n1", 20, storage.Incarnation{Nonce: "z", Lease: 2})
 		}, at + delegation.GrantDuration},
 		{"release by the former leader", func(f *boundFixture) {
 			record := storage.Incarnation{Nonce: "x", Lease: 1, Released: []storage.ReleasedLease{{Partition: 0, LeaseRevision: formerToken}}}
-			f.watcher.ApplyEvent(protocol.Event{Put: storage.IncarnationKey("n1"), Value: storage.Encode(record), Version: 20})
+			f.applyIncarnation("n1", 20, record)
 		}, at + delegation.GrantDuration},
 		{"release of an earlier lease by the former leader", func(f *boundFixture) {
 			record := storage.Incarnation{Nonce: "x", Lease: 1, Released: []storage.ReleasedLease{{Partition: 0, LeaseRevision: formerToken - 1}}}
-			f.watcher.ApplyEvent(protocol.Event{Put: storage.IncarnationKey("n1"), Value: storage.Encode(record), Version: 20})
+			f.applyIncarnation("n1", 20, record)
 		}, kept},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -178,8 +210,9 @@
 				}
 				time.Sleep(at)
 				row.act(f)
-				if got := f.machine.Answers.Until().Sub(start); got != row.want {
-					t.Errorf("the last answer may be given until %s after the takeover, want %s (%+v)", got, row.want, f.machine.Answers.Others())
+				times := f.answers()
+				if got := times.Until().Sub(start); got != row.want {
+					t.Errorf("the last answer may be given until %s after the takeover, want %s (%+v)", got, row.want, times.Others())
 				}
 			})
 		})
@@ -190,9 +223,6 @@
 // those of its delegates, which count also if they were given before the takeover was complete.
 func TestOwnAnswersOutlastProofsAboutFormerLeaders(t *testing.T) {
 	t.Parallel()
-	endOfFormerLeader := func(f *boundFixture) {
-		f.watcher.ApplyEvent(protocol.Event{Put: storage.IncarnationKey("n1"), Value: storage.Encode(storage.Incarnation{Nonce: "z", Lease: 2}), Version: 20})
-	}
 	for _, row := range []struct {
 		name   string
 		answer func(f *boundFixture)
@@ -204,9 +234,9 @@
 			f.forward(stale)
 		}},
 		{"own answer before the takeover was complete", func(f *boundFixture) {
-			f.partition.Ready = false
+			f.loop.Do(func() { f.partition.Ready = false })
 			f.report(2, formerToken)
-			f.takeover.Install(f.partition, &replication.Replica{}, nil, false)
+			f.install()
 		}},
 	} {
 		t.Run(row.name, func(t *testing.T) {
@@ -214,14 +244,15 @@
 			synctest.Test(t, func(t *testing.T) {
 				f, end := newBoundFixture(t)
 				defer end()
-				endOfFormerLeader(f)
-				time.Sleep(5 * time.Second) // the delegates of the former leader have stopped
+				f.applyIncarnation("n1", 20, storage.Incarnation{Nonce: "z", Lease: 2}) // the former leader has ended
+				time.Sleep(5 * time.Second)                                             // the delegates of the former leader have stopped
 				row.answer(f)
 				answeredAt := time.Now()
 				time.Sleep(time.Second)
-				f.leases.ApplyIncarnation("n2", protocol.Event{Put: storage.IncarnationKey("n2"), Value: storage.Encode(storage.Incarnation{Nonce: "a"}), Version: 30})
-				f.leases.ApplyIncarnation("n2", protocol.Event{Put: storage.IncarnationKey("n2"), Value: storage.Encode(storage.Incarnation{Nonce: "b"}), Version: 31})
-				if got := f.machine.Answers.Until(); !got.Equal(answeredAt) {
+				f.applyIncarnation("n2", 30, storage.Incarnation{Nonce: "a"})
+				f.applyIncarnation("n2", 31, storage.Incarnation{Nonce: "b"}) // bounds are computed anew
+				times := f.answers()
+				if got := times.Until(); !got.Equal(answeredAt) {
 					t.Errorf("the last answer may have been given until %s after it was given, want 0", got.Sub(answeredAt))
 				}
 			})
--- a/internal/coordination/reassignment_dependents_test.go
+++ b/internal/coordination/reassignment_dependents_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -138,12 +139,11 @@
 
 // beforeCommit calls f once, before a controller sends the transaction of a reassignment to job-2.
 func (r *reassignmentRace) beforeCommit(label string, f func()) {
-	called := false
+	var once sync.Once
 	r.withLock(func() {
 		r.onRequest = func(from, host, target string, body []byte) bool {
-			if !called && from == label && host == "state" && target == "/commit" && bytes.Contains(body, []byte(storage.JobKey("job-2"))) {
-				called = true
-				f()
+			if from == label && host == "state" && target == "/commit" && bytes.Contains(body, []byte(storage.JobKey("job-2"))) {
+				once.Do(f)
 			}
 			return false
 		}
