Comments and log calls of this work in the project's wording

Cause: a last reading of the change found comments that say "knows until when" and "what is known of", and two log calls whose message was a variable.

Change: nouns and the usual verbs; each log call has a constant message, the attributes of a reassignment come from one function.

--- a/internal/coordination/agents/collaborators.go
+++ b/internal/coordination/agents/collaborators.go
@@ -16,8 +16,7 @@
 	DeleteMachines(names []string) error
 }
 
-// Leases detects failed leaders of other partitions, and knows until when former leaders may answer
-// heartbeats.
+// Leases detects failed leaders of other partitions, and computes the answer bounds of former leaders.
 type Leases interface {
 	// LastAnswerBound returns the latest time at which a former leader, or a delegate of one, may
 	// answer a heartbeat of a machine of a partition.
--- a/internal/coordination/api/collaborators.go
+++ b/internal/coordination/api/collaborators.go
@@ -22,7 +22,7 @@
 	HandleHeartbeat(heartbeat *protocol.Heartbeat, raw []byte) transport.Response
 }
 
-// Leases knows until when former leaders may answer heartbeats, and which versions the controllers run.
+// Leases computes the answer bounds of former leaders, and reads the controllers' incarnation records.
 type Leases interface {
 	// SuccessorConditions returns the conditions under which a job may be reassigned, and the
 	// controllers that run a version which cancels the dependents of reassigned jobs. It must be
--- a/internal/coordination/api/reassign.go
+++ b/internal/coordination/api/reassign.go
@@ -74,7 +74,7 @@
 		return transport.Response{}, err
 	}
 	s.loop.Do(func() {
-		s.logReassignment("job reassigned", move, "")
+		s.log.Info("job reassigned", s.reassignmentAttributes(move)...)
 		s.jobs.ApplyJobRecord(move.successor.ID, move.value)
 		s.jobs.ApplyFinalRecord(move.id, final)
 	})
@@ -143,7 +143,7 @@
 			reason = "other jobs wait for this one; withdraw and submit the pipeline again"
 		}
 		if reason != "" {
-			s.logReassignment("reassignment refused", move, reason)
+			s.log.With(s.reassignmentAttributes(move)...).Info("reassignment refused", "reason", reason)
 		}
 	})
 	limit := conditionsPerChange*s.store.TxnOps() - otherReassignConditions - len(move.successorConditions)
@@ -158,16 +158,12 @@
 	return nil
 }
 
-// logReassignment logs a decision on a reassignment with the state on which it rests: the jobs that wait
-// for the job in this controller's memory, and the age and revision of its records. It must be called in
-// the event loop.
-func (s *Server) logReassignment(message string, move *reassignment, reason string) {
-	attributes := []any{"job", move.id, "successor", move.successor.ID, "count", s.Dependencies.DependentsOf(move.id),
+// reassignmentAttributes returns the log attributes of a decision on a reassignment, with the state on which
+// it is based: the number of jobs in this controller's memory that depend on the job, and the revision and
+// age of its records. It must be called in the event loop.
+func (s *Server) reassignmentAttributes(move *reassignment) []any {
+	return []any{"job", move.id, "successor", move.successor.ID, "count", s.Dependencies.DependentsOf(move.id),
 		"records_revision", s.RecordsRevision, "records_age", time.Since(s.RecordsCurrentAt)}
-	if reason != "" {
-		attributes = append(attributes, "reason", reason)
-	}
-	s.log.Info(message, attributes...)
 }
 
 // answerConflictingReassignment returns the reason for a conflict of a reassignment. If the job
--- a/internal/coordination/cluster/dependencies.go
+++ b/internal/coordination/cluster/dependencies.go
@@ -49,9 +49,9 @@
 	g.NodeByJob, g.JobsToCancel, g.jobs, g.runTime = map[string]int32{}, map[string]*Job{}, jobs, runTime
 }
 
-// JobEnd is what is known of the end of a job, as far as it matters to the jobs that depend on it.
+// JobEnd is the end of a job according to its final record.
 type JobEnd struct {
-	// Status is the job's final status, or "" if none is known from the job's final record.
+	// Status is the job's final status, or "" if the job's final record was not received.
 	Status string
 	// Successor is the id of the job that a reassigned job became, or "". The jobs that depend on a
 	// reassigned job depend on its successor.
--- a/internal/coordination/failover/answer_bounds.go
+++ b/internal/coordination/failover/answer_bounds.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// BoundReason is what limits the time for which a controller may answer heartbeats.
+// BoundReason is the reason for an answer bound.
 type BoundReason string
 
 // The reasons for answer bounds, as logged.
--- a/internal/coordination/jobs/tracker.go
+++ b/internal/coordination/jobs/tracker.go
@@ -135,11 +135,11 @@
 // are to be cancelled with it, or wait for its successor.
 func (t *Tracker) updateDependents(id string) {
 	if n := t.Dependencies.DependentsOf(id); n > 0 && t.FinalStates[id] == protocol.StatusCancelled {
-		message := "jobs are cancelled with their dependency"
-		if t.Successors[id] != "" {
-			message = "jobs wait for the successor of their dependency"
+		if successor := t.Successors[id]; successor != "" {
+			t.log.Info("jobs wait for the successor of their dependency", "job", id, "successor", successor, "count", n, "records_revision", t.RecordsRevision)
+		} else {
+			t.log.Info("jobs are cancelled with their dependency", "job", id, "count", n, "records_revision", t.RecordsRevision)
 		}
-		t.log.Info(message, "job", id, "successor", t.Successors[id], "count", n, "records_revision", t.RecordsRevision)
 	}
 	for _, dependent := range t.Dependencies.JobEnded(id, t.endOf, time.Now()) {
 		if p := t.Partitions[dependent.Partition]; p.Held && p.Ready {
